--- /dev/null
+++ b/src/base/failure.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <boost/outcome.hpp>
+#include <functional>
+#include <string>
+
+#include "base/verdict.h"
+
+namespace monsoonmux {
+
+enum class error_code {
+  bad_request,
+  unauthorized,
+  forbidden,
+  not_found,
+  conflict,
+  too_large,
+  overloaded,
+  deadline_exceeded,
+  unavailable,
+  refused,
+  connection_failed,
+  connection_lost,
+  malformed_answer,
+  unsatisfiable,
+  shutting_down,
+};
+
+// One line of text for each code, for people.
+std::string_view to_string(error_code code);
+
+// Why an operation did not give its result, and whether it may have run.
+struct failure {
+  error_code code = error_code::unavailable;
+  verdict effect = verdict::not_run;
+  std::string detail;
+};
+
+// A value or a failure. Example:
+//
+//   result<int> parse(std::string_view text);
+//   if (auto r = parse("7"); r.has_value()) { use(r.value()); }
+template <class T>
+using result = BOOST_OUTCOME_V2_NAMESPACE::checked<T, failure>;
+
+// Receives the result of an asynchronous operation, exactly once.
+template <class T>
+using reply = std::function<void(result<T>)>;
+
+inline failure not_run(error_code code, std::string detail) {
+  return {code, verdict::not_run, std::move(detail)};
+}
+inline failure may_have_run(error_code code, std::string detail) {
+  return {code, verdict::may_have_run, std::move(detail)};
+}
+
+}  // namespace monsoonmux
