State as a function of the log, and the scheduler of one domain

Cause: nothing decides yet. Change: records that are idempotent one by one (job state is a lattice, transfers are growing totals behind a fence), a replica in 16 shards, and a scheduler with weighted dominant-resource fairness, allowances, gangs, reclaiming of lent work and drains with backfill.

--- /dev/null
+++ b/src/place/fit.cc
@@ -0,0 +1,81 @@
+// One pass over the domain's workers per task. Best fit compares what would be
+// left, as a fraction of the worker's own size, so that small tasks do not nibble
+// at empty accelerator hosts; a task without accelerators sees a worker's free
+// accelerators as left over and prefers workers that have none.
+
+#include "place/fit.h"
+
+#include <limits>
+#include <tuple>
+
+namespace monsoonmux {
+namespace {
+
+double fraction(std::int64_t part, std::int64_t whole) {
+  return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0.0;
+}
+
+// How much of the worker stays free, summed over its resources.
+double left_over(const worker_table::row& row, const resources& amount) {
+  const resources left = row.free - row.claimed - amount;
+  const resources& total = row.info.total;
+  return fraction(left.cpu.value, total.cpu.value) +
+         fraction(left.memory.value, total.memory.value) +
+         fraction(left.accelerators.value, total.accelerators.value);
+}
+
+std::int32_t count_of(const std::unordered_map<std::int32_t, std::int32_t>& counts,
+                      std::int32_t key) {
+  const auto it = counts.find(key);
+  return it == counts.end() ? 0 : it->second;
+}
+
+}  // namespace
+
+bool fit::candidate(const worker_table::row& row, const pending_unit& unit, std::int32_t pool,
+                    instant end) {
+  return row.usable && row.pool == pool && unit.per_task.fits(row.open(end)) &&
+         (unit.avoid.empty() || unit.avoid.count(row.info.id) == 0);
+}
+
+worker_index fit::pack(const pending_unit& unit, std::int32_t pool, instant end) const {
+  worker_index best = no_worker;
+  double least = std::numeric_limits<double>::max();
+  const auto& rows = this->workers.all();
+  for (std::size_t i = 0; i < rows.size(); ++i) {
+    if (!candidate(rows[i], unit, pool, end)) {
+      continue;
+    }
+    const double left = left_over(rows[i], unit.per_task);
+    if (left < least) {
+      least = left;
+      best = static_cast<worker_index>(i);
+    }
+  }
+  return best;
+}
+
+worker_index fit::spread(const pending_unit& unit, std::int32_t pool,
+                         const job_spread& job) const {
+  constexpr instant never{std::numeric_limits<std::int64_t>::max()};
+  worker_index best = no_worker;
+  auto lowest = std::make_tuple(std::numeric_limits<std::int32_t>::max(),
+                                std::numeric_limits<std::int32_t>::max(), 0.0);
+  const auto& rows = this->workers.all();
+  for (std::size_t i = 0; i < rows.size(); ++i) {
+    if (!candidate(rows[i], unit, pool, never)) {
+      continue;
+    }
+    const auto worker = static_cast<worker_index>(i);
+    const auto score =
+        std::make_tuple(count_of(job.in_rack, rows[i].rack), count_of(job.on_worker, worker),
+                        -left_over(rows[i], unit.per_task));
+    if (score < lowest) {
+      lowest = score;
+      best = worker;
+    }
+  }
+  return best;
+}
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/place/pending_queue.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <compare>
+#include <deque>
+#include <map>
+#include <memory>
+
+#include "place/pending_unit.h"
+
+namespace monsoonmux {
+
+// The waiting units of one team, grouped by shape.
+//
+// Units of one shape ask for the same amounts in the same pool, so if the first
+// does not fit, none of them does; a planning round looks at one unit per
+// shape, however many wait. Within a shape order is first come, first served.
+class pending_queue {
+ public:
+  // What decides whether and how urgently a unit can start.
+  struct shape {
+    bool normal = true;  // False sorts urgent units first.
+    pool_id pool;
+    work_kind kind = work_kind::batch;
+    std::int64_t cpu = 0;
+    std::int64_t memory = 0;
+    std::int64_t accelerators = 0;
+    std::size_t tasks = 0;
+    bool restricted = false;  // Avoids workers: fits less than its shape.
+    job_id job;               // Set for restricted units only.
+
+    auto operator<=>(const shape&) const = default;
+  };
+  using line = std::deque<std::shared_ptr<const pending_unit>>;
+  using lines = std::map<shape, line>;
+
+  void push(std::shared_ptr<const pending_unit> unit);
+  void push_front(std::shared_ptr<const pending_unit> unit);
+  // Removes the first unit of the shape.
+  void pop(const shape& of);
+  void remove_job(const job_id& job);
+
+  bool empty() const { return this->count == 0; }
+  std::size_t size() const { return this->count; }
+  const lines& by_shape() const { return this->waiting; }
+  // Sum of what all units ask for.
+  const resources& demand() const { return this->total; }
+
+  static shape shape_of(const pending_unit& unit);
+
+ private:
+  lines waiting;
+  std::size_t count = 0;
+  resources total;
+};
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/place/victim_finder.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "place/running_set.h"
+#include "place/team_book.h"
+#include "place/worker_table.h"
+
+namespace monsoonmux {
+
+// Where a blocked unit could go, and which tasks have to stop for it.
+struct reclaim_choice {
+  std::vector<worker_index> spots;  // One per task of the unit.
+  std::vector<running_task*> victims;
+};
+
+// Finds lent capacity for a unit whose team is below its share.
+//
+// Victims are tasks of teams above their entitlement, taken only as far as the
+// team stays at or above it, and tasks that backfilled a claim. Never taken:
+// urgent tasks, tasks that cannot be repeated, tasks of the unit's own team.
+// Among workers the one with the least lost work is chosen; a gang loses the
+// work of all its tasks. Cost: one pass over the running tasks per task of the
+// unit.
+class victim_finder {
+ public:
+  victim_finder(const worker_table& workers, const running_set& running, const team_book& teams)
+      : workers(workers), running(running), teams(teams) {}
+
+  std::optional<reclaim_choice> find(const pending_unit& unit, std::int32_t pool,
+                                     instant now) const;
+
+ private:
+  struct scratch {
+    std::unordered_map<worker_index, resources> taken;  // By spots, less by victims.
+    std::unordered_map<const running_task*, bool> chosen;
+    std::map<team_id, resources> used;
+    std::int64_t active_shares = 0;
+  };
+  struct offer {
+    double lost = 0;
+    std::vector<running_task*> victims;
+  };
+
+  std::optional<offer> offer_of(worker_index worker, const pending_unit& unit, const scratch& s,
+                                instant now) const;
+  bool lent(const running_task& task, const pending_unit& unit, const scratch& s,
+            std::map<team_id, resources>& used) const;
+  double lost_work(const running_task& task, instant now) const;
+  void take(scratch& s, worker_index worker, const pending_unit& unit, const offer& best,
+            reclaim_choice& choice) const;
+
+  const worker_table& workers;
+  const running_set& running;
+  const team_book& teams;
+};
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/state/replica.cc
@@ -0,0 +1,356 @@
+// Replays the log. The idea is that all lasting state is a function of the log
+// prefix and that each record is idempotent, so an append whose answer was lost
+// is simply repeated, and a record written again to outlive the log's retention
+// merges into what is known. Job state is a lattice (see task_state), so an old
+// copy that arrives late can never undo a completion. The obvious alternative,
+// a snapshot with a covered offset, would need its writer to be the only one
+// writing while it is taken.
+
+#include "state/replica.h"
+
+#include <algorithm>
+
+namespace monsoonmux {
+namespace {
+
+constexpr std::size_t max_writers = 4'096;
+
+}  // namespace
+
+replica::replica() {
+  auto empty = std::make_shared<config_view>();
+  empty->text = "{}";
+  this->current = empty;
+}
+
+void replica::watch(const daemon_id& writer, std::int64_t incarnation, own_record seen) {
+  this->own_writer = writer;
+  this->own_incarnation = incarnation;
+  this->own_seen = std::move(seen);
+}
+
+void replica::apply(const std::string& bytes) {
+  ++this->entries;
+  auto decoded = decode_envelope(bytes);
+  if (decoded.has_error()) {
+    ++this->skipped;
+    return;
+  }
+  const envelope& e = decoded.value();
+  const writer_key key{e.writer, e.incarnation};
+  auto [it, fresh] = this->last_sequence.try_emplace(key, e.sequence);
+  if (!fresh && it->second >= e.sequence) {
+    return;
+  }
+  it->second = e.sequence;
+  if (this->last_sequence.size() > max_writers) {
+    this->last_sequence.erase(this->last_sequence.begin());
+  }
+  const bool own = e.writer == this->own_writer && e.incarnation == this->own_incarnation;
+  for (std::size_t place = 0; place < e.records.size(); ++place) {
+    const record_outcome outcome =
+        std::visit([this](const auto& r) { return this->apply_record(r); }, e.records[place]);
+    if (own && this->own_seen) {
+      this->own_seen(e.sequence, place, outcome);
+    }
+  }
+}
+
+record_outcome replica::apply_record(const config_patch& r) {
+  const config_ptr before = this->config();
+  if (r.base != before->version) {
+    return record_outcome::lost_race;
+  }
+  auto patched = patch_document(before->text, r.patch);
+  if (patched.has_error()) {
+    return record_outcome::invalid;
+  }
+  auto doc = document::parse(patched.value());
+  const config_version next{before->version.value + 1};
+  this->install(next, patched.value(), std::move(doc.value()));
+  const std::lock_guard hold(this->config_lock);
+  this->history.push_back({next, r.author, r.patch, r.wall_ms});
+  if (this->history.size() > max_history) {
+    this->history.pop_front();
+  }
+  return record_outcome::applied;
+}
+
+record_outcome replica::apply_record(const config_refresh& r) {
+  const config_ptr before = this->config();
+  if (r.version < before->version) {
+    return record_outcome::lost_race;
+  }
+  if (r.version == before->version) {
+    const std::lock_guard hold(this->config_lock);
+    this->config_entry = this->entries;
+    return record_outcome::applied;
+  }
+  auto doc = document::parse(r.text);
+  if (doc.has_error()) {
+    return record_outcome::invalid;
+  }
+  this->install(r.version, r.text, std::move(doc.value()));
+  const std::lock_guard hold(this->budget_lock);
+  this->budgets.restore_since(r.limits);
+  return record_outcome::applied;
+}
+
+config_refresh replica::make_refresh() const {
+  const config_ptr view = this->config();
+  const std::lock_guard hold(this->budget_lock);
+  return {view->version, view->text, this->budgets.limit_versions()};
+}
+
+void replica::install(config_version version, const std::string& text, document doc) {
+  auto view = std::make_shared<config_view>();
+  view->version = version;
+  view->text = text;
+  view->keys = key_ring(doc);
+  view->doc = std::move(doc);
+  {
+    const std::lock_guard hold(this->budget_lock);
+    this->budgets.configure(view->doc, version);
+  }
+  const std::lock_guard hold(this->config_lock);
+  this->current = view;
+  this->config_entry = this->entries;
+}
+
+record_outcome replica::apply_record(const job_record& r) {
+  const job& incoming = r.value;
+  if (incoming.spec.tasks < 1 ||
+      incoming.tasks.size() != static_cast<std::size_t>(incoming.spec.tasks)) {
+    return record_outcome::invalid;
+  }
+  shard& s = this->shard_of(incoming.spec.id);
+  const std::lock_guard hold(s.lock);
+  auto [it, fresh] = s.jobs.try_emplace(incoming.spec.id);
+  it->second.written_at = this->entries;
+  if (fresh) {
+    it->second.value = incoming;
+    return record_outcome::applied;
+  }
+  job& known = it->second.value;
+  if (known.tasks.size() != incoming.tasks.size()) {
+    return record_outcome::duplicate;
+  }
+  known.cancelled = known.cancelled || incoming.cancelled;
+  for (std::size_t i = 0; i < known.tasks.size(); ++i) {
+    known.tasks[i].merge(incoming.tasks[i]);
+  }
+  return record_outcome::duplicate;
+}
+
+record_outcome replica::apply_record(const job_cancel& r) {
+  shard& s = this->shard_of(r.id);
+  const std::lock_guard hold(s.lock);
+  const auto it = s.jobs.find(r.id);
+  if (it == s.jobs.end()) {
+    return record_outcome::invalid;
+  }
+  it->second.value.cancelled = true;
+  return record_outcome::applied;
+}
+
+record_outcome replica::apply_record(const job_unsatisfiable& r) {
+  shard& s = this->shard_of(r.id);
+  const std::lock_guard hold(s.lock);
+  const auto it = s.jobs.find(r.id);
+  if (it == s.jobs.end()) {
+    return record_outcome::invalid;
+  }
+  it->second.value.unsatisfiable = r.reason;
+  return record_outcome::applied;
+}
+
+record_outcome replica::apply_record(const task_updates& r) {
+  for (const task_update& update : r.updates) {
+    shard& s = this->shard_of(update.id.job);
+    const std::lock_guard hold(s.lock);
+    const auto it = s.jobs.find(update.id.job);
+    const auto index = static_cast<std::size_t>(update.id.index);
+    if (it != s.jobs.end() && update.id.index >= 0 && index < it->second.value.tasks.size()) {
+      it->second.value.tasks[index].merge(update.state);
+    }
+  }
+  return record_outcome::applied;
+}
+
+record_outcome replica::apply_record(const worker_joined& r) {
+  const std::lock_guard hold(this->worker_lock);
+  this->worker_domains[r.worker] = r.domain;
+  return record_outcome::applied;
+}
+
+record_outcome replica::apply_record(const worker_left& r) {
+  const std::lock_guard hold(this->worker_lock);
+  this->worker_domains.erase(r.worker);
+  return record_outcome::applied;
+}
+
+record_outcome replica::apply_record(const placer_fence& r) {
+  const std::lock_guard hold(this->budget_lock);
+  return this->budgets.fence(r) ? record_outcome::applied : record_outcome::lost_race;
+}
+
+record_outcome replica::apply_record(const budget_transfer& r) {
+  const std::lock_guard hold(this->budget_lock);
+  return this->budgets.apply(r) ? record_outcome::applied : record_outcome::invalid;
+}
+
+config_ptr replica::config() const {
+  const std::lock_guard hold(this->config_lock);
+  return this->current;
+}
+
+std::vector<config_change> replica::config_history() const {
+  const std::lock_guard hold(this->config_lock);
+  return {this->history.begin(), this->history.end()};
+}
+
+std::optional<job> replica::find_job(const job_id& id) const {
+  const shard& s = this->shard_of(id);
+  const std::lock_guard hold(s.lock);
+  const auto it = s.jobs.find(id);
+  if (it == s.jobs.end()) {
+    return std::nullopt;
+  }
+  return it->second.value;
+}
+
+std::vector<job> replica::jobs(const team_id& team, std::size_t limit) const {
+  std::vector<job> out;
+  for (const shard& s : this->shards) {
+    const std::lock_guard hold(s.lock);
+    for (const auto& [name, entry] : s.jobs) {
+      if (team.empty() || entry.value.spec.team == team) {
+        out.push_back(entry.value);
+      }
+    }
+  }
+  std::sort(out.begin(), out.end(), [](const job& a, const job& b) {
+    return std::tie(a.accepted_ms, a.spec.id) < std::tie(b.accepted_ms, b.spec.id);
+  });
+  if (out.size() > limit) {
+    out.erase(out.begin(), out.end() - static_cast<std::ptrdiff_t>(limit));
+  }
+  return out;
+}
+
+void replica::each_open_job(const domain_id& domain,
+                            const std::function<void(const job&)>& see) const {
+  const auto in_domain = [&](const job_part& part) { return part.domain == domain; };
+  for (const shard& s : this->shards) {
+    const std::lock_guard hold(s.lock);
+    for (const auto& [name, entry] : s.jobs) {
+      const auto& parts = entry.value.parts;
+      if (!entry.value.finished() && std::any_of(parts.begin(), parts.end(), in_domain)) {
+        see(entry.value);
+      }
+    }
+  }
+}
+
+std::size_t replica::job_count() const {
+  std::size_t count = 0;
+  for (const shard& s : this->shards) {
+    const std::lock_guard hold(s.lock);
+    count += s.jobs.size();
+  }
+  return count;
+}
+
+std::set<worker_id> replica::workers(const domain_id& domain) const {
+  const std::lock_guard hold(this->worker_lock);
+  std::set<worker_id> out;
+  for (const auto& [worker, home] : this->worker_domains) {
+    if (home == domain) {
+      out.insert(worker);
+    }
+  }
+  return out;
+}
+
+resources replica::allotment(const team_id& team, const domain_id& domain) const {
+  const std::lock_guard hold(this->budget_lock);
+  return this->budgets.allotment(team, domain);
+}
+
+resources replica::budget_floor(const team_id& team, const domain_id& domain) const {
+  const std::lock_guard hold(this->budget_lock);
+  return this->budgets.floor(team, domain);
+}
+
+config_version replica::limit_version(const team_id& team) const {
+  const std::lock_guard hold(this->budget_lock);
+  return this->budgets.limit_version(team);
+}
+
+resources replica::budget_given(const team_id& team, const domain_id& from,
+                                const domain_id& to) const {
+  const std::lock_guard hold(this->budget_lock);
+  return this->budgets.given(team, from, to);
+}
+
+std::vector<budget_transfer> replica::budget_records() const {
+  const std::lock_guard hold(this->budget_lock);
+  return this->budgets.records();
+}
+
+epoch replica::fence_of(const domain_id& domain) const {
+  const std::lock_guard hold(this->budget_lock);
+  return this->budgets.fence_of(domain);
+}
+
+std::vector<job> replica::stale_jobs(std::int64_t age, std::size_t limit) const {
+  std::vector<std::pair<std::int64_t, job>> found;
+  const std::int64_t oldest = this->entries - age;
+  for (const shard& s : this->shards) {
+    const std::lock_guard hold(s.lock);
+    for (const auto& [name, entry] : s.jobs) {
+      if (entry.written_at <= oldest) {
+        found.emplace_back(entry.written_at, entry.value);
+      }
+    }
+  }
+  std::sort(found.begin(), found.end(), [](const auto& a, const auto& b) {
+    return std::tie(a.first, a.second.spec.id) < std::tie(b.first, b.second.spec.id);
+  });
+  std::vector<job> out;
+  for (std::size_t i = 0; i < std::min(limit, found.size()); ++i) {
+    out.push_back(std::move(found[i].second));
+  }
+  return out;
+}
+
+std::int64_t replica::applied_entries() const { return this->entries; }
+
+std::int64_t replica::config_written_at() const {
+  const std::lock_guard hold(this->config_lock);
+  return this->config_entry;
+}
+
+std::int64_t replica::skipped_entries() const { return this->skipped; }
+
+void replica::forget_finished(std::int64_t before_ms) {
+  for (shard& s : this->shards) {
+    const std::lock_guard hold(s.lock);
+    std::erase_if(s.jobs, [&](const auto& item) {
+      const job& j = item.second.value;
+      return j.finished() && j.accepted_ms < before_ms &&
+             std::all_of(j.tasks.begin(), j.tasks.end(),
+                         [&](const task_state& t) { return t.ended_ms < before_ms; });
+    });
+  }
+}
+
+replica::shard& replica::shard_of(const job_id& id) {
+  return this->shards[std::hash<job_id>{}(id) % shard_count];
+}
+
+const replica::shard& replica::shard_of(const job_id& id) const {
+  return this->shards[std::hash<job_id>{}(id) % shard_count];
+}
+
+}  // namespace monsoonmux
