--- /dev/null
+++ b/src/control/budget_desk.cc
@@ -0,0 +1,66 @@
+#include "control/budget_desk.h"
+
+#include <algorithm>
+
+namespace monsoonmux {
+namespace {
+
+resources smaller(const resources& a, const resources& b) {
+  return {std::min(a.cpu, b.cpu), std::min(a.memory, b.memory),
+          std::min(a.accelerators, b.accelerators)};
+}
+
+resources positive(const resources& a) {
+  return {std::max(a.cpu, millicores{}), std::max(a.memory, mebibytes{}),
+          std::max(a.accelerators, devices{})};
+}
+
+}  // namespace
+
+void budget_desk::reset() {
+  this->confirmed = false;
+  this->debits.clear();
+}
+
+resources budget_desk::allowance(const team_id& team) const {
+  if (!this->confirmed) {
+    return this->state.budget_floor(team, this->domain);
+  }
+  resources out = this->state.allotment(team, this->domain);
+  for (const auto& [path, amount] : this->debits) {
+    if (path.first == team) {
+      out -= amount;
+    }
+  }
+  return out;
+}
+
+std::optional<budget_transfer> budget_desk::give(const budget_wish& wish, const resources& busy,
+                                                 epoch number) {
+  const route path{wish.team, wish.to};
+  if (!this->confirmed || wish.to == this->domain || this->debits.count(path) != 0) {
+    return std::nullopt;
+  }
+  const resources have = this->allowance(wish.team);
+  const resources kept = this->state.budget_floor(wish.team, this->domain);
+  const resources spare = smaller(positive(have - busy), positive(have - kept));
+  const resources amount = smaller(positive(wish.amount), spare);
+  if (amount.zero()) {
+    return std::nullopt;
+  }
+  budget_transfer out;
+  out.team = wish.team;
+  out.from = this->domain;
+  out.to = wish.to;
+  out.total = this->state.budget_given(wish.team, this->domain, wish.to) + amount;
+  out.limit_version = this->state.limit_version(wish.team);
+  out.donor_epoch = number;
+  this->debits[path] = amount;
+  return out;
+}
+
+void budget_desk::settled(const budget_transfer& transfer) {
+  this->debits.erase({transfer.team, transfer.to});
+}
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/control/budget_desk.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/resources.h"
+#include "state/replica.h"
+
+namespace monsoonmux {
+
+// One domain asks the others for part of a team's upper limit.
+struct budget_wish {
+  team_id team;
+  domain_id to;
+  resources amount;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(team, to, amount);
+  }
+};
+
+// One domain's side of the division of upper limits.
+//
+// What a placer may use of a team's limit is its allotment by the log less the
+// transfers that it has begun and not yet read back. Before the placer's own
+// fence was read back, it is only the floor, since a predecessor may have given
+// away more than this daemon knows.
+class budget_desk {
+ public:
+  budget_desk(domain_id domain, const replica& state) : domain(std::move(domain)), state(state) {}
+
+  // A new placer starts without knowledge of its predecessors' transfers.
+  void reset();
+  void set_confirmed() { this->confirmed = true; }
+  bool is_confirmed() const { return this->confirmed; }
+
+  resources allowance(const team_id& team) const;
+
+  // Debits what can be spared and returns the record to append; nothing if it
+  // is zero or a transfer on this route is under way. `busy` is what the domain
+  // itself uses and wants.
+  std::optional<budget_transfer> give(const budget_wish& wish, const resources& busy,
+                                      epoch number);
+  // The record was read back, valid or not; the log's view counts again.
+  void settled(const budget_transfer& transfer);
+
+ private:
+  using route = std::pair<team_id, domain_id>;
+
+  const domain_id domain;
+  const replica& state;
+  bool confirmed = false;
+  std::map<route, resources> debits;
+};
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/control/domain_placer.h
@@ -0,0 +1,186 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <mutex>
+
+#include "base/clock.h"
+#include "base/event.h"
+#include "control/budget_desk.h"
+#include "control/placer_options.h"
+#include "control/right_keeper.h"
+#include "control/task_book.h"
+#include "journal/log_writer.h"
+
+namespace monsoonmux {
+
+enum class placer_phase { idle, recovering, placing };
+
+std::string_view to_string(placer_phase phase);
+
+// What other daemons and operators want to know of a domain's placer.
+struct placer_status {
+  domain_id domain;
+  placer_phase phase = placer_phase::idle;
+  epoch number;
+  resources capacity;
+  resources free;
+  std::size_t running = 0;
+  std::size_t waiting = 0;
+  std::size_t workers = 0;
+  std::size_t aside = 0;
+};
+
+// What is known of one worker, for operators.
+struct worker_view {
+  worker_host host;
+  resources free;
+  std::size_t tasks = 0;
+  bool usable = false;
+  bool aside = false;
+  millis silent;  // Since its last report.
+};
+
+// Places the tasks of one failure domain while it holds the domain's right, and
+// does nothing otherwise. Every daemon has one per domain; docs/DESIGN.md says
+// how the right moves.
+//
+// After winning the right it recovers first: it asks every worker what runs
+// there, appends a fence and waits until it reads it back, then adopts what runs
+// and queues what does not. If a worker does not answer, it waits until the
+// leases of all tasks that a predecessor can have started have run out.
+//
+// Promises, while a worker keeps what docs/PLATFORM.md assumes: a task has one
+// run at a time; a run that ended well is recorded and never repeated; a worker
+// is never given more than its total. Safe to call from any thread. Ports must
+// not reply from within a call.
+class domain_placer : public std::enable_shared_from_this<domain_placer> {
+ public:
+  // `holder` names this daemon and incarnation to the electors.
+  domain_placer(domain_id domain, daemon_id daemon, std::string holder, const clock& time,
+                replica& state, log_writer& writer, worker_port& workers, event_sink& events,
+                placer_options options);
+
+  void set_hosts(const std::vector<worker_host>& hosts);
+  // Whether to try for the right when nobody is known to hold it.
+  void set_candidate(bool candidate);
+  // Does what is due. Call every 100 ms or so.
+  void tick();
+  // Gives the right up for a graceful stop, so that another can take it at once.
+  void resign();
+  // True once the right was given back, or had ended, after resign().
+  bool released() const;
+
+  placer_status status() const;
+  std::vector<worker_view> workers() const;
+  // What the teams with waiting work lack of their allowance here.
+  std::vector<budget_wish> wishes() const;
+  // Gives another domain what can be spared.
+  void on_wish(const budget_wish& wish);
+
+ private:
+  using outbox = std::vector<std::function<void()>>;
+  using unit_ptr = std::shared_ptr<const pending_unit>;
+  using guard = std::unique_lock<std::mutex>;
+
+  // Runs the action with the lock held and then sends what it put out.
+  template <class Action>
+  void locked(Action action);
+
+  void keep_right(instant now);
+  void ask(const right_keeper::ask& asked);
+  void begin(instant now);
+  void lose(instant now);
+  void append_fence();
+  void sync_workers(instant now);
+  void on_sync(const worker_links::sync& asked, const result<worker_report>& answer,
+               std::int64_t era);
+  bool recovered(instant now) const;
+  void finish_recovery(instant now);
+  void introduce_workers();
+  void load_changes(instant now);
+  void load_job(const job& value, instant now);
+  void take_report(const worker_id& worker, const worker_report& report, instant sent,
+                   instant now);
+  void take_task(const worker_id& worker, const task_report& report, instant now);
+  job_entry* job_of(const worker_id& worker, const task_report& report, instant now);
+  void take_running(const worker_id& worker, const task_report& report, job_entry& job,
+                    task_entry& task, instant now);
+  void take_end(const worker_id& worker, const task_report& report, job_entry& job,
+                task_entry& task, instant now);
+  void take_success(const worker_id& worker, const task_report& report, job_entry& job,
+                    task_entry& task, instant now);
+  void take_failure(const worker_id& worker, const task_report& report, job_entry& job,
+                    task_entry& task, instant now);
+  void take_missing(const worker_id& worker, const worker_report& report, instant sent,
+                    instant now);
+  void adopt(const worker_id& worker, const task_report& report, job_entry& job, task_entry& task,
+             instant now);
+  void run_again(job_entry& job, const task_id& id, task_entry& task, millis delay, instant now);
+  void end_task(job_entry& job, const task_id& id, task_entry& task, task_phase phase);
+  void lose_run(job_entry& job, const task_id& id, task_entry& task, instant now);
+  void requeue_all(job_entry& job);
+  void break_gang(job_entry& job, instant now);
+  void stop_unknown(const worker_id& worker, const task_run& run, instant now);
+  void acknowledge(const worker_id& worker, const task_run& run);
+  int counted_failures(const task_entry& task) const;
+  void check_silent(instant now);
+  void update_terms();
+  void update_workers(instant now);
+  void queue_ready(instant now);
+  void check_hopeless(instant now);
+  void decide(instant now);
+  void start(const unit_start& unit, instant now);
+  void start_task(const task_start& placed, const job_entry& job, task_entry& task, instant now);
+  void record_then_start(const task_start& placed, task_entry& task);
+  void send_start(const task_id& id, const worker_id& worker, const job_entry& job,
+                  task_entry& task, instant now);
+  void on_start(const task_run& run, const result<void>& answer, instant now);
+  void stop(const task_stop& value, instant now);
+  void send_stop(const worker_id& worker, const task_run& run, bool checkpoint, instant now);
+  void repeat_stops(instant now);
+  void record_state(const task_id& id, const task_entry& task, task_phase phase);
+  void flush_updates(instant now, bool at_once);
+  bool active(std::int64_t era) const { return era == this->era; }
+  void emit(std::string_view kind, std::vector<event_field> fields);
+
+  const domain_id domain;
+  const daemon_id daemon;
+  const clock& time;
+  replica& state;
+  log_writer& writer;
+  worker_port& port;
+  event_sink& events;
+  const placer_options options;
+
+  mutable std::mutex lock;
+  outbox out;
+  right_keeper right;
+  worker_links links;
+  task_book book;
+  health_book health;
+  budget_desk desk;
+  std::unique_ptr<scheduler> schedule;
+  placer_phase phase = placer_phase::idle;
+  std::int64_t era = 0;  // Counts times that the right was won or lost.
+  bool candidate = false;
+  bool resigned = false;
+  instant release_at;
+  bool fenced = false;
+  instant began;
+  std::int64_t change_cursor = 0;
+  config_version terms_version{-1};
+  struct ack {
+    worker_id worker;
+    task_run run;
+  };
+  std::map<worker_id, worker_report> recovery_reports;
+  std::set<job_id> attention;  // Jobs with tasks to queue.
+  std::map<task_id, task_state> updates;
+  std::vector<ack> acks;  // Ends that `updates` records.
+  bool flushing = false;
+  instant last_flush;
+  instant last_hopeless;
+};
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/control/task_book.cc
@@ -0,0 +1,128 @@
+#include "control/task_book.h"
+
+#include <algorithm>
+
+namespace monsoonmux {
+namespace {
+
+std::shared_ptr<pending_unit> unit_of(const job_entry& job, instant since) {
+  auto unit = std::make_shared<pending_unit>();
+  unit->job = job.spec.id;
+  unit->team = job.spec.team;
+  unit->pool = job.spec.pool;
+  unit->kind = job.spec.kind;
+  unit->priority = job.spec.priority;
+  unit->per_task = job.spec.per_task;
+  unit->declared_runtime = job.spec.declared_runtime;
+  unit->since = since;
+  unit->preemptible = job.spec.idempotent;
+  return unit;
+}
+
+}  // namespace
+
+bool job_entry::any_holds_worker() const {
+  return std::any_of(this->tasks.begin(), this->tasks.end(),
+                     [](const auto& item) { return item.second.holds_worker(); });
+}
+
+bool job_entry::all_ended() const {
+  return std::all_of(this->tasks.begin(), this->tasks.end(), [](const auto& item) {
+    return item.second.stage == task_stage::ended;
+  });
+}
+
+job_entry& task_book::load(const job& value, const domain_id& domain, instant now) {
+  const auto [it, fresh] = this->jobs.try_emplace(value.spec.id);
+  job_entry& entry = it->second;
+  if (fresh) {
+    entry.loaded = now;
+  }
+  entry.spec = value.spec;
+  entry.foreign = false;
+  entry.cancelled = entry.cancelled || value.cancelled;
+  for (const job_part& part : value.parts) {
+    if (part.domain != domain) {
+      continue;
+    }
+    for (std::int32_t i = part.first; i < part.first + part.count; ++i) {
+      const auto index = static_cast<std::size_t>(i);
+      if (index < value.tasks.size() && !terminal(value.tasks[index].phase)) {
+        // A run that the log knows of has had this number; adopting it, if it
+        // still runs, puts the number back.
+        const bool ran = value.tasks[index].phase == task_phase::running;
+        task_entry task;
+        task.attempt = value.tasks[index].attempt + (ran ? 1 : 0);
+        task.may_have_run = ran;
+        entry.tasks.try_emplace(i, task);
+      }
+    }
+  }
+  return entry;
+}
+
+job_entry& task_book::load_foreign(const task_report& report, instant now) {
+  const auto [it, fresh] = this->jobs.try_emplace(report.task.job);
+  job_entry& entry = it->second;
+  if (fresh) {
+    entry.loaded = now;
+    entry.foreign = true;
+    entry.spec.id = report.task.job;
+    entry.spec.per_task = report.amount;
+    entry.spec.idempotent = false;  // Stops nothing that may not be repeated.
+  }
+  entry.tasks.try_emplace(report.task.index);
+  return entry;
+}
+
+job_entry* task_book::find(const job_id& job) {
+  const auto it = this->jobs.find(job);
+  return it == this->jobs.end() ? nullptr : &it->second;
+}
+
+task_entry* task_book::find(const task_id& task) {
+  job_entry* job = this->find(task.job);
+  if (job == nullptr) {
+    return nullptr;
+  }
+  const auto it = job->tasks.find(task.index);
+  return it == job->tasks.end() ? nullptr : &it->second;
+}
+
+std::vector<std::shared_ptr<const pending_unit>> task_book::take_ready(job_entry& job,
+                                                                       instant now) {
+  std::vector<std::shared_ptr<const pending_unit>> out;
+  const bool gang = job.spec.kind == work_kind::gang;
+  if (job.foreign || job.cancelled || (gang && job.any_holds_worker())) {
+    return out;
+  }
+  auto whole = unit_of(job, now);
+  for (auto& [index, task] : job.tasks) {
+    if (task.stage != task_stage::waiting || task.ready > now) {
+      continue;
+    }
+    task.stage = task_stage::queued;
+    if (gang) {
+      whole->tasks.push_back(index);
+      whole->avoid.insert(task.failed_on.begin(), task.failed_on.end());
+      continue;
+    }
+    auto unit = unit_of(job, now);
+    unit->tasks = {index};
+    unit->avoid = task.failed_on;
+    out.push_back(std::move(unit));
+  }
+  if (!whole->tasks.empty()) {
+    out.push_back(std::move(whole));
+  }
+  return out;
+}
+
+std::shared_ptr<const pending_unit> task_book::running_unit(const job_entry& job,
+                                                            std::int32_t index, instant now) {
+  auto unit = unit_of(job, now);
+  unit->tasks = {index};
+  return unit;
+}
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/control/worker_links.cc
@@ -0,0 +1,102 @@
+#include "control/worker_links.h"
+
+#include <algorithm>
+
+namespace monsoonmux {
+namespace {
+
+// Allowance for a worker's clock running slower than ours: a twentieth.
+constexpr std::int64_t drift_part = 20;
+
+}  // namespace
+
+worker_links::worker_links(domain_id domain, link_options options)
+    : domain(std::move(domain)), options(options) {}
+
+void worker_links::set_hosts(const std::vector<worker_host>& hosts) {
+  for (auto& [id, link] : this->links) {
+    link.listed = false;
+  }
+  for (const worker_host& host : hosts) {
+    worker_link& link = this->links[host.worker];
+    link.host = host;
+    link.listed = true;
+  }
+}
+
+instant worker_links::command_end(instant now, instant right_end) const {
+  return std::min(right_end, now + this->options.command_bound);
+}
+
+instant worker_links::lease_end(instant effect) const {
+  return effect + this->options.task_lease + this->options.task_lease / drift_part;
+}
+
+worker_time worker_links::command_deadline(const worker_id& worker, instant now,
+                                           instant right_end) {
+  worker_link* link = this->find(worker);
+  if (link == nullptr || !link->clock_known) {
+    return no_deadline;
+  }
+  const instant end = this->command_end(now, right_end);
+  link->may_run_until = std::max(link->may_run_until, this->lease_end(end));
+  // The worker read its clock before the report came, so counting from the
+  // arrival makes the deadline early, never late.
+  return link->reported_now + (end - link->reported_at).value;
+}
+
+std::vector<worker_links::sync> worker_links::due(instant now, epoch number, instant right_end,
+                                                  bool renew) {
+  std::vector<sync> out;
+  for (auto& [id, link] : this->links) {
+    if (link.syncing || now < link.next_sync) {
+      continue;
+    }
+    link.syncing = true;
+    link.next_sync = now + this->options.task_lease / this->options.syncs_per_lease;
+    sync s{id, {this->domain, number, {}, {}, no_deadline, {}}, now};
+    const bool alive = link.clock_known && link.missed < this->options.misses;
+    if (renew && alive) {
+      s.request.lease = this->options.task_lease;
+      s.request.not_after = this->command_deadline(id, now, right_end);
+      s.request.send_by = this->command_end(now, right_end);
+    }
+    s.request.ended.assign(link.ended.begin(), link.ended.end());
+    out.push_back(std::move(s));
+  }
+  return out;
+}
+
+void worker_links::on_report(const sync& asked, const worker_report& report, instant now) {
+  worker_link* link = this->find(asked.worker);
+  if (link == nullptr) {
+    return;
+  }
+  const bool back = link->missed >= this->options.misses || !link->clock_known;
+  link->syncing = false;
+  link->missed = 0;
+  link->clock_known = true;
+  link->reported_now = report.now;
+  link->reported_at = now;
+  link->heard = now;
+  if (back) {
+    link->next_sync = now;  // Renew what still runs there.
+  }
+  for (const task_run& run : asked.request.ended) {
+    link->ended.erase(run);
+  }
+}
+
+void worker_links::on_failure(const sync& asked, instant) {
+  if (worker_link* link = this->find(asked.worker); link != nullptr) {
+    link->syncing = false;
+    ++link->missed;
+  }
+}
+
+worker_link* worker_links::find(const worker_id& worker) {
+  const auto it = this->links.find(worker);
+  return it == this->links.end() ? nullptr : &it->second;
+}
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/history/checker.cc
@@ -0,0 +1,380 @@
+// One small checker class per promise, each fed every event in order of time.
+// They share nothing with the scheduler's code, so an error in one is not
+// repeated in the other. Events of one instant are fed ends first, since a place
+// that becomes free may be taken in the same millisecond.
+
+#include "history/checker.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace monsoonmux {
+namespace {
+
+class rule {
+ public:
+  rule(promise broken, std::vector<violation>& found) : broken(broken), found(found) {}
+  virtual ~rule() = default;
+  virtual void see(const history_event& e) = 0;
+  virtual void finish() {}
+
+ protected:
+  void report(std::int64_t at, std::string detail) {
+    this->found.push_back({this->broken, at, std::move(detail)});
+  }
+
+ private:
+  promise broken;
+  std::vector<violation>& found;
+};
+
+class overcommit_rule final : public rule {
+ public:
+  using rule::rule;
+  void see(const history_event& e) override {
+    if (e.kind == history_kind::worker_size) {
+      this->totals[e.subject] = e.amount;
+    } else if (e.kind == history_kind::task_started) {
+      this->used[e.subject] += e.amount;
+      this->held[{e.subject, e.task}] = e.amount;
+      if (!this->used[e.subject].fits(this->totals[e.subject])) {
+        this->report(e.at_ms, "worker " + e.subject + " is overcommitted by " + e.task);
+      }
+    } else if (e.kind == history_kind::task_stopped) {
+      const auto it = this->held.find({e.subject, e.task});
+      if (it != this->held.end()) {
+        this->used[e.subject] -= it->second;
+        this->held.erase(it);
+      }
+    }
+  }
+
+ private:
+  std::map<std::string, resources> totals;
+  std::map<std::string, resources> used;
+  std::map<std::pair<std::string, std::string>, resources> held;
+};
+
+class one_place_rule final : public rule {
+ public:
+  using rule::rule;
+  void see(const history_event& e) override {
+    if (e.kind == history_kind::task_started) {
+      auto& places = this->running[e.task];
+      if (!places.empty()) {
+        this->report(e.at_ms, e.task + " runs on " + *places.begin() + " and on " + e.subject);
+      }
+      places.insert(e.subject);
+    } else if (e.kind == history_kind::task_stopped) {
+      this->running[e.task].erase(e.subject);
+    }
+  }
+
+ private:
+  std::map<std::string, std::set<std::string>> running;
+};
+
+// The limit at a moment is the largest that was in force during the bound before.
+class limit_rule final : public rule {
+ public:
+  limit_rule(promise broken, std::vector<violation>& found, millis bound)
+      : rule(broken, found), bound(bound) {}
+
+  void see(const history_event& e) override {
+    if (e.kind == history_kind::limit_in_force) {
+      this->limits[e.team].push_back({e.at_ms, e.amount});
+    } else if (e.kind == history_kind::task_started) {
+      this->used[e.team] += e.amount;
+      this->held[{e.subject, e.task}] = {e.team, e.amount};
+      if (!this->allowed(e.team, e.at_ms, this->used[e.team])) {
+        this->report(e.at_ms, "team " + e.team + " exceeds its limit with " + e.task);
+      }
+    } else if (e.kind == history_kind::task_stopped) {
+      const auto it = this->held.find({e.subject, e.task});
+      if (it != this->held.end()) {
+        this->used[it->second.team] -= it->second.amount;
+        this->held.erase(it);
+      }
+    }
+  }
+
+ private:
+  struct limit {
+    std::int64_t since = 0;
+    resources amount;
+  };
+  struct holding {
+    std::string team;
+    resources amount;
+  };
+
+  bool allowed(const std::string& team, std::int64_t now, const resources& used) const {
+    const auto it = this->limits.find(team);
+    if (it == this->limits.end()) {
+      return true;
+    }
+    for (std::size_t i = 0; i < it->second.size(); ++i) {
+      const bool current = i + 1 == it->second.size();
+      const bool recent = !current && it->second[i + 1].since + this->bound.value >= now;
+      if ((current || recent) && used.fits(it->second[i].amount)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  millis bound;
+  std::map<std::string, std::vector<limit>> limits;
+  std::map<std::string, resources> used;
+  std::map<std::pair<std::string, std::string>, holding> held;
+};
+
+class key_rule final : public rule {
+ public:
+  key_rule(promise broken, std::vector<violation>& found, millis bound)
+      : rule(broken, found), bound(bound) {}
+  void see(const history_event& e) override {
+    if (e.kind == history_kind::key_withdrawn) {
+      this->withdrawn.emplace(e.text, e.at_ms);
+    } else if (e.kind == history_kind::key_used && e.flag) {
+      const auto it = this->withdrawn.find(e.text);
+      if (it != this->withdrawn.end() && e.at_ms > it->second + this->bound.value) {
+        this->report(e.at_ms, "withdrawn key " + e.text + " was accepted");
+      }
+    }
+  }
+
+ private:
+  millis bound;
+  std::map<std::string, std::int64_t> withdrawn;
+};
+
+class answer_rule final : public rule {
+ public:
+  using rule::rule;
+  void see(const history_event& e) override {
+    if (e.kind == history_kind::call_answered && e.phase == "answered" && e.text != e.task) {
+      this->report(e.at_ms, "call " + e.task + " got the answer of " + e.text);
+    }
+  }
+};
+
+class not_run_rule final : public rule {
+ public:
+  using rule::rule;
+  void see(const history_event& e) override {
+    if (e.kind == history_kind::call_ran) {
+      this->ran.emplace(e.task, e.at_ms);
+    } else if (e.kind == history_kind::call_answered && e.phase == "not_run") {
+      this->refused.insert(e.task);
+    }
+  }
+  void finish() override {
+    for (const std::string& call : this->refused) {
+      if (const auto it = this->ran.find(call); it != this->ran.end()) {
+        this->report(it->second, "call " + call + " ran and was called not_run");
+      }
+    }
+  }
+
+ private:
+  std::map<std::string, std::int64_t> ran;
+  std::set<std::string> refused;
+};
+
+class at_most_once_rule final : public rule {
+ public:
+  using rule::rule;
+  void see(const history_event& e) override {
+    if (e.kind == history_kind::call_sent && !e.flag) {
+      this->single.insert(e.task);
+    } else if (e.kind == history_kind::call_ran && ++this->runs[e.task] > 1 &&
+               this->single.count(e.task) != 0) {
+      this->report(e.at_ms, "call " + e.task + " is not idempotent and ran again");
+    }
+  }
+
+ private:
+  std::set<std::string> single;
+  std::map<std::string, int> runs;
+};
+
+class leaving_rule final : public rule {
+ public:
+  leaving_rule(promise broken, std::vector<violation>& found, millis bound)
+      : rule(broken, found), bound(bound) {}
+  void see(const history_event& e) override {
+    if (e.kind == history_kind::runner_left) {
+      this->left.emplace(e.subject, e.at_ms);
+    } else if (e.kind == history_kind::call_ran) {
+      const auto it = this->left.find(e.subject);
+      if (it != this->left.end() && e.at_ms > it->second + this->bound.value) {
+        this->report(e.at_ms, "leaving runner " + e.subject + " got call " + e.task);
+      }
+    }
+  }
+
+ private:
+  millis bound;
+  std::map<std::string, std::int64_t> left;
+};
+
+class cut_rule final : public rule {
+ public:
+  using rule::rule;
+  void see(const history_event& e) override {
+    if (e.kind == history_kind::stop_planned) {
+      this->planned.insert(e.subject);
+    } else if (e.kind == history_kind::request_cut && this->planned.count(e.subject) != 0) {
+      this->report(e.at_ms, "the planned stop of " + e.subject + " cut off a request");
+    }
+  }
+
+ private:
+  std::set<std::string> planned;
+};
+
+class monotonic_rule final : public rule {
+ public:
+  using rule::rule;
+  void see(const history_event& e) override {
+    if (e.kind != history_kind::config_seen) {
+      return;
+    }
+    std::int64_t& known = this->versions[e.subject];
+    if (e.number < known) {
+      this->report(e.at_ms, "configuration of " + e.subject + " went back from " +
+                                std::to_string(known) + " to " + std::to_string(e.number));
+    }
+    known = e.number;
+  }
+
+ private:
+  std::map<std::string, std::int64_t> versions;
+};
+
+class in_force_rule final : public rule {
+ public:
+  in_force_rule(promise broken, std::vector<violation>& found, millis bound)
+      : rule(broken, found), bound(bound) {}
+  void see(const history_event& e) override {
+    if (e.kind == history_kind::config_accepted) {
+      this->accepted.emplace(e.number, e.at_ms);
+    } else if (e.kind == history_kind::config_seen) {
+      const auto newer = this->accepted.upper_bound(e.number);
+      if (newer != this->accepted.end() && e.at_ms > newer->second + this->bound.value) {
+        this->report(e.at_ms, e.subject + " still has version " + std::to_string(e.number));
+      }
+    }
+  }
+
+ private:
+  millis bound;
+  std::map<std::int64_t, std::int64_t> accepted;
+};
+
+class lost_rule final : public rule {
+ public:
+  lost_rule(promise broken, std::vector<violation>& found, bool complete)
+      : rule(broken, found), complete(complete) {}
+  void see(const history_event& e) override {
+    if (e.kind == history_kind::job_accepted) {
+      this->wanted[e.task] = e.number;
+    } else if (e.kind == history_kind::job_cancelled) {
+      this->wanted.erase(e.task);
+    } else if (e.kind == history_kind::task_recorded) {
+      this->ended[e.task.substr(0, e.task.rfind('/'))].insert(e.task);
+    }
+  }
+  void finish() override {
+    for (const auto& [job, tasks] : this->wanted) {
+      const auto done = static_cast<std::int64_t>(this->ended[job].size());
+      if (this->complete && done < tasks) {
+        this->report(0, "job " + job + " has " + std::to_string(done) + " of " +
+                            std::to_string(tasks) + " tasks ended");
+      }
+    }
+  }
+
+ private:
+  bool complete;
+  std::map<std::string, std::int64_t> wanted;
+  std::map<std::string, std::set<std::string>> ended;
+};
+
+// A task that ended well on a worker is never started again once that was
+// recorded, and what was recorded as succeeded did succeed.
+class once_rule final : public rule {
+ public:
+  using rule::rule;
+  void see(const history_event& e) override {
+    if (e.kind == history_kind::task_stopped && e.phase == "succeeded") {
+      this->succeeded.insert(e.task);
+    } else if (e.kind == history_kind::task_recorded) {
+      if (e.phase == "succeeded" && this->succeeded.count(e.task) == 0) {
+        this->report(e.at_ms, e.task + " is recorded as succeeded and never was");
+      }
+      this->recorded.insert(e.task);
+    } else if (e.kind == history_kind::task_started && this->recorded.count(e.task) != 0) {
+      this->report(e.at_ms, e.task + " started again after its end was recorded");
+    }
+  }
+
+ private:
+  std::set<std::string> succeeded;
+  std::set<std::string> recorded;
+};
+
+constexpr std::array<std::string_view, 13> names = {
+    "no_overcommit",   "one_place",      "upper_limit",      "withdrawn_key",   "own_answer",
+    "not_run_is_true", "at_most_once",   "leaving_runner",   "no_request_cut",  "config_monotonic",
+    "config_in_force", "nothing_lost",   "finished_once"};
+
+std::vector<std::unique_ptr<rule>> make_rules(const checker_options& o,
+                                              std::vector<violation>& found) {
+  std::vector<std::unique_ptr<rule>> rules;
+  rules.push_back(std::make_unique<overcommit_rule>(promise::no_overcommit, found));
+  rules.push_back(std::make_unique<one_place_rule>(promise::one_place, found));
+  rules.push_back(std::make_unique<limit_rule>(promise::upper_limit, found, o.limit_bound));
+  rules.push_back(std::make_unique<key_rule>(promise::withdrawn_key, found, o.key_bound));
+  rules.push_back(std::make_unique<answer_rule>(promise::own_answer, found));
+  rules.push_back(std::make_unique<not_run_rule>(promise::not_run_is_true, found));
+  rules.push_back(std::make_unique<at_most_once_rule>(promise::at_most_once, found));
+  rules.push_back(std::make_unique<leaving_rule>(promise::leaving_runner, found, o.leaving_bound));
+  rules.push_back(std::make_unique<cut_rule>(promise::no_request_cut, found));
+  rules.push_back(std::make_unique<monotonic_rule>(promise::config_monotonic, found));
+  rules.push_back(std::make_unique<in_force_rule>(promise::config_in_force, found, o.config_bound));
+  rules.push_back(std::make_unique<lost_rule>(promise::nothing_lost, found, o.complete));
+  rules.push_back(std::make_unique<once_rule>(promise::finished_once, found));
+  return rules;
+}
+
+}  // namespace
+
+std::string_view to_string(promise value) { return names.at(static_cast<std::size_t>(value)); }
+
+std::vector<violation> check_history(const history& events, const checker_options& options) {
+  std::vector<violation> found;
+  const auto rules = make_rules(options, found);
+  history sorted = events;
+  std::stable_sort(sorted.begin(), sorted.end(),
+                   [](const history_event& a, const history_event& b) {
+                     const bool a_end = a.kind == history_kind::task_stopped;
+                     const bool b_end = b.kind == history_kind::task_stopped;
+                     return std::make_pair(a.at_ms, !a_end) < std::make_pair(b.at_ms, !b_end);
+                   });
+  for (const history_event& e : sorted) {
+    for (const auto& r : rules) {
+      r->see(e);
+    }
+  }
+  for (const auto& r : rules) {
+    r->finish();
+  }
+  return found;
+}
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/journal/log_follower.cc
@@ -0,0 +1,145 @@
+// One read is in flight at a time, and its number tells a late answer from the
+// present one, so entries are applied once and in order whichever source they
+// come from. Reads go to the platform and to a peer in turn while the platform
+// fails; a daemon that is cut off from the platform, but not from a peer, is thus
+// one poll behind instead of out of date for the whole outage.
+
+#include "journal/log_follower.h"
+
+namespace monsoonmux {
+namespace {
+
+constexpr std::size_t cache_bytes = 4 << 20;
+
+}  // namespace
+
+log_follower::log_follower(log_service& platform, log_service& peers, replica& state,
+                           const clock& time, event_sink& events, follower_options options)
+    : platform(platform),
+      peers(peers),
+      state(state),
+      time(time),
+      events(events),
+      options(options),
+      recent(cache_bytes) {}
+
+void log_follower::tick() {
+  const instant now = this->time.now();
+  bool from_platform = true;
+  std::int64_t number = 0;
+  log_offset from;
+  {
+    const std::lock_guard hold(this->lock);
+    const bool lost = this->reading && now >= this->read_started + this->options.read_timeout;
+    if (lost) {
+      this->ask_peers = !this->ask_peers;
+      this->reachable = false;
+    }
+    const bool news = this->hinted > this->cursor;
+    if ((this->reading && !lost) || (now < this->next_read && !news)) {
+      return;
+    }
+    this->reading = true;
+    this->read_started = now;
+    number = ++this->read_number;
+    from_platform = !this->ask_peers;
+    from = this->cursor;
+  }
+  log_service& source = from_platform ? this->platform : this->peers;
+  source.read(from, [this, from_platform, now, number](const result<log_page>& page) {
+    this->on_page(from_platform, now, number, page);
+  });
+}
+
+void log_follower::on_page(bool platform, instant sent, std::int64_t read,
+                           const result<log_page>& page) {
+  const std::lock_guard applying(this->apply_lock);
+  {
+    const std::lock_guard hold(this->lock);
+    if (read != this->read_number) {
+      return;
+    }
+  }
+  if (page.has_value()) {
+    this->apply_page(platform, sent, page.value());
+  }
+  const std::lock_guard hold(this->lock);
+  this->reading = false;
+  if (platform) {
+    this->reachable = page.has_value();
+  }
+  // A peer's answer never ends the attempts at the platform.
+  this->ask_peers = platform && page.has_error();
+  const bool more = page.has_value() && !page.value().entries.empty();
+  this->hinted = page.has_value() && !more ? this->cursor : this->hinted;
+  const instant now = this->time.now();
+  this->next_read = more ? now : now + (page.has_error() ? this->options.retry
+                                                         : this->options.poll);
+  if (page.has_error()) {
+    this->hinted = this->cursor;
+  }
+}
+
+void log_follower::apply_page(bool platform, instant sent, const log_page& page) {
+  log_offset at = this->next();
+  if (platform && page.end < at) {
+    this->events.emit("log_shorter", {{"had", std::to_string(at.value)},
+                                      {"end", std::to_string(page.end.value)}});
+    this->recent.clear();
+    at = page.end;
+  }
+  if (platform && page.first_kept > at) {
+    this->events.emit("log_gap", {{"from", std::to_string(at.value)},
+                                  {"first_kept", std::to_string(page.first_kept.value)}});
+    at = page.first_kept;
+  }
+  for (const log_entry& entry : page.entries) {
+    if (entry.offset < at) {
+      if (!platform && entry.offset == snapshot_offset) {
+        this->state.apply(entry.bytes, sent);
+      }
+      continue;
+    }
+    if (entry.offset > at) {
+      break;
+    }
+    this->state.apply(entry.bytes, sent);
+    this->recent.add(entry);
+    at = {entry.offset.value + 1};
+    const std::lock_guard hold(this->lock);
+    this->cursor = at;
+  }
+  const std::lock_guard hold(this->lock);
+  this->cursor = at;
+  // A peer that does not reach back as far sends a snapshot and where it ends.
+  if (!platform && page.first_kept > at) {
+    this->cursor = page.first_kept;
+  }
+  if (platform && this->cursor >= page.end) {
+    this->confirmed = sent;
+  }
+}
+
+void log_follower::hint(log_offset next) {
+  const std::lock_guard hold(this->lock);
+  if (next > this->hinted) {
+    this->hinted = next;
+  }
+}
+
+log_offset log_follower::next() const {
+  const std::lock_guard hold(this->lock);
+  return this->cursor;
+}
+
+instant log_follower::confirmed_at() const {
+  const std::lock_guard hold(this->lock);
+  return this->confirmed;
+}
+
+bool log_follower::platform_reachable() const {
+  const std::lock_guard hold(this->lock);
+  return this->reachable;
+}
+
+}  // namespace monsoonmux
--- a/src/place/plan.h
+++ b/src/place/plan.h
@@ -14,6 +14,7 @@
   cancelled,   // The job was cancelled.
   gang_broken, // Another task of the gang ended without success.
   oversized,   // It uses more than its worker can give.
+  leaving,     // Its worker leaves the fleet.
   superseded,  // Not the placement that the scheduler knows.
 };
 
--- a/src/place/scheduler.cc
+++ b/src/place/scheduler.cc
@@ -25,6 +25,8 @@
       return "gang_broken";
     case stop_reason::oversized:
       return "oversized";
+    case stop_reason::leaving:
+      return "leaving";
     case stop_reason::superseded:
       return "superseded";
   }
@@ -63,11 +65,15 @@
   this->book.at(unit->team).waiting.push_front(std::move(unit));
 }
 
-std::vector<task_stop> scheduler::cancel(const job_id& job, stop_reason reason) {
+void scheduler::withdraw(const job_id& job) {
   for (auto& [team, account] : this->book.all()) {
     account.waiting.remove_job(job);
   }
   this->claimed.drop_job(job);
+}
+
+std::vector<task_stop> scheduler::cancel(const job_id& job, stop_reason reason) {
+  this->withdraw(job);
   std::vector<task_stop> stops;
   for (running_task* task : this->tasks.of_job(job)) {
     if (!task->stopping) {
--- a/src/place/scheduler.h
+++ b/src/place/scheduler.h
@@ -53,7 +53,9 @@
   void submit(std::shared_ptr<const pending_unit> unit);
   // Puts a unit that lost its place back before others of its shape.
   void resubmit(std::shared_ptr<const pending_unit> unit);
-  // Removes the job's waiting units and returns its tasks that hold resources.
+  // Removes the job's waiting units.
+  void withdraw(const job_id& job);
+  // The same, and returns its tasks that hold resources.
   std::vector<task_stop> cancel(const job_id& job, stop_reason reason);
 
   // Books a task that already runs, found after a takeover.
--- a/src/platform/log_service.h
+++ b/src/platform/log_service.h
@@ -13,6 +13,9 @@
   std::string bytes;
 };
 
+// Marks an entry of a snapshot that a daemon made for another; see log_follower.
+constexpr log_offset snapshot_offset{-1};
+
 // A run of consecutive entries.
 struct log_page {
   std::vector<log_entry> entries;
--- a/src/platform/worker_port.h
+++ b/src/platform/worker_port.h
@@ -37,6 +37,7 @@
   task_id task;
   std::int32_t attempt = 1;
   report_phase phase = report_phase::running;
+  resources amount;           // As given at the start.
   resources usage;            // Measured; lags.
   millis age;                 // Since it started.
   millis since_checkpoint;    // Since its state was last saved, else its age.
@@ -55,6 +56,7 @@
 struct sync_request {
   domain_id domain;
   epoch number;
+  instant send_by;  // Local time; not sent at or after it, unless 0.
   millis lease;
   worker_time not_after = no_deadline;
   std::vector<task_run> ended;  // Recorded; the worker may forget them.
@@ -69,6 +71,7 @@
 struct start_request {
   domain_id domain;
   epoch number;
+  instant send_by;  // Local time; not sent at or after it, unless 0.
   worker_time not_after = no_deadline;
   task_run run;
   resources amount;
--- a/src/state/replica.cc
+++ b/src/state/replica.cc
@@ -29,8 +29,9 @@
   this->own_seen = std::move(seen);
 }
 
-void replica::apply(const std::string& bytes) {
+void replica::apply(const std::string& bytes, instant now) {
   ++this->entries;
+  this->apply_time = now;
   auto decoded = decode_envelope(bytes);
   if (decoded.has_error()) {
     ++this->skipped;
@@ -83,7 +84,7 @@
   }
   if (r.version == before->version) {
     const std::lock_guard hold(this->config_lock);
-    this->config_entry = this->entries;
+    this->config_time = this->apply_time;
     return record_outcome::applied;
   }
   auto doc = document::parse(r.text);
@@ -114,7 +115,7 @@
   }
   const std::lock_guard hold(this->config_lock);
   this->current = view;
-  this->config_entry = this->entries;
+  this->config_time = this->apply_time;
 }
 
 record_outcome replica::apply_record(const job_record& r) {
@@ -126,9 +127,10 @@
   shard& s = this->shard_of(incoming.spec.id);
   const std::lock_guard hold(s.lock);
   auto [it, fresh] = s.jobs.try_emplace(incoming.spec.id);
-  it->second.written_at = this->entries;
+  it->second.written = this->apply_time;
   if (fresh) {
     it->second.value = incoming;
+    this->note_change(incoming.spec.id);
     return record_outcome::applied;
   }
   job& known = it->second.value;
@@ -150,6 +152,7 @@
     return record_outcome::invalid;
   }
   it->second.value.cancelled = true;
+  this->note_change(r.id);
   return record_outcome::applied;
 }
 
@@ -303,14 +306,13 @@
   return this->budgets.fence_of(domain);
 }
 
-std::vector<job> replica::stale_jobs(std::int64_t age, std::size_t limit) const {
-  std::vector<std::pair<std::int64_t, job>> found;
-  const std::int64_t oldest = this->entries - age;
+std::vector<job> replica::stale_jobs(instant written_before, std::size_t limit) const {
+  std::vector<std::pair<instant, job>> found;
   for (const shard& s : this->shards) {
     const std::lock_guard hold(s.lock);
     for (const auto& [name, entry] : s.jobs) {
-      if (entry.written_at <= oldest) {
-        found.emplace_back(entry.written_at, entry.value);
+      if (entry.written < written_before) {
+        found.emplace_back(entry.written, entry.value);
       }
     }
   }
@@ -324,15 +326,66 @@
   return out;
 }
 
-std::int64_t replica::applied_entries() const { return this->entries; }
-
-std::int64_t replica::config_written_at() const {
+instant replica::config_written() const {
   const std::lock_guard hold(this->config_lock);
-  return this->config_entry;
+  return this->config_time;
 }
 
+std::int64_t replica::applied_entries() const { return this->entries; }
+
 std::int64_t replica::skipped_entries() const { return this->skipped; }
 
+std::vector<std::string> replica::snapshot(std::int64_t number) const {
+  envelope e{daemon_id("snapshot"), number, 0, {}};
+  std::vector<std::string> out;
+  const auto flush = [&] {
+    ++e.sequence;
+    out.push_back(encode(e));
+    e.records.clear();
+  };
+  e.records.emplace_back(this->make_refresh());
+  for (const budget_transfer& t : this->budget_records()) {
+    e.records.emplace_back(t);
+  }
+  {
+    const std::lock_guard hold(this->worker_lock);
+    for (const auto& [worker, domain] : this->worker_domains) {
+      e.records.emplace_back(worker_joined{worker, domain});
+    }
+  }
+  flush();
+  for (const shard& s : this->shards) {
+    const std::lock_guard hold(s.lock);
+    for (const auto& [name, entry] : s.jobs) {
+      e.records.emplace_back(job_record{entry.value});
+    }
+    if (!e.records.empty()) {
+      flush();
+    }
+  }
+  return out;
+}
+
+void replica::note_change(const job_id& id) {
+  const std::lock_guard hold(this->change_lock);
+  this->changes.push_back(id);
+  ++this->change_count;
+  if (this->changes.size() > max_changes) {
+    this->changes.pop_front();
+  }
+}
+
+std::optional<std::vector<job_id>> replica::changed_since(std::int64_t& cursor) const {
+  const std::lock_guard hold(this->change_lock);
+  const std::int64_t oldest = this->change_count - static_cast<std::int64_t>(this->changes.size());
+  const std::int64_t from = cursor;
+  cursor = this->change_count;
+  if (from < oldest) {
+    return std::nullopt;
+  }
+  return std::vector<job_id>(this->changes.begin() + (from - oldest), this->changes.end());
+}
+
 void replica::forget_finished(std::int64_t before_ms) {
   for (shard& s : this->shards) {
     const std::lock_guard hold(s.lock);
--- a/src/state/replica.h
+++ b/src/state/replica.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "base/clock.h"
 #include "state/budget.h"
 #include "state/config_view.h"
 #include "state/record.h"
@@ -35,7 +36,7 @@
   replica();
 
   // Applies one entry. Foreign or damaged bytes are counted and skipped.
-  void apply(const std::string& bytes);
+  void apply(const std::string& bytes, instant now);
 
   config_ptr config() const;
   std::vector<config_change> config_history() const;
@@ -63,23 +64,32 @@
   using own_record = std::function<void(std::int64_t sequence, std::size_t place, record_outcome)>;
   void watch(const daemon_id& writer, std::int64_t incarnation, own_record seen);
 
-  // Jobs whose record is older than `age` envelopes, oldest first: those to
+  // Jobs last written whole before the given instant, oldest first: those to
   // append again before the log forgets them.
-  std::vector<job> stale_jobs(std::int64_t age, std::size_t limit) const;
+  std::vector<job> stale_jobs(instant written_before, std::size_t limit) const;
+  instant config_written() const;
   std::int64_t applied_entries() const;
-  std::int64_t config_written_at() const;
   std::int64_t skipped_entries() const;
 
+  // The whole state as log entries, for a daemon that starts without the log.
+  // `number` makes the entries differ from those of other snapshots.
+  std::vector<std::string> snapshot(std::int64_t number) const;
+
+  // Names of jobs accepted or cancelled since the cursor, which moves on.
+  // Nothing if too many have passed; then look at all open jobs.
+  std::optional<std::vector<job_id>> changed_since(std::int64_t& cursor) const;
+
   // Forgets finished jobs that ended before the given Unix time.
   void forget_finished(std::int64_t before_ms);
 
  private:
   static constexpr std::size_t shard_count = 16;
   static constexpr std::size_t max_history = 256;
+  static constexpr std::size_t max_changes = 8'192;
 
   struct job_entry {
     job value;
-    std::int64_t written_at = 0;  // Entry count when last written whole.
+    instant written;  // When last written whole.
   };
   struct shard {
     mutable std::mutex lock;
@@ -101,6 +111,7 @@
   record_outcome apply_record(const worker_left& r);
   record_outcome apply_record(const placer_fence& r);
   record_outcome apply_record(const budget_transfer& r);
+  void note_change(const job_id& id);
   void install(config_version version, const std::string& text, document doc);
   shard& shard_of(const job_id& id);
   const shard& shard_of(const job_id& id) const;
@@ -110,7 +121,7 @@
   mutable std::mutex config_lock;
   config_ptr current;
   std::deque<config_change> history;
-  std::int64_t config_entry = 0;
+  instant config_time;
 
   mutable std::mutex budget_lock;
   budget_book budgets;
@@ -118,7 +129,12 @@
   mutable std::mutex worker_lock;
   std::map<worker_id, domain_id> worker_domains;
 
+  mutable std::mutex change_lock;
+  std::deque<job_id> changes;
+  std::int64_t change_count = 0;
+
   // Used by apply() alone.
+  instant apply_time;
   std::map<writer_key, std::int64_t> last_sequence;
   daemon_id own_writer;
   std::int64_t own_incarnation = 0;
