HTTP, platform clients and messages between daemons

Cause: the decisions need ports. Change: libcurl client whose verdict rests on the bytes sent, RESTinio server in one translation unit, JSON clients for log, hosts, workers and runners, sealed cereal messages over UDP and TCP. Measured: tests bring about crossed and late answers, forged, damaged (20,000 mutations) and replayed messages; all refused. Ruled out while reading curl: keeping connections for calls that may run once, since libcurl repeats by itself on a kept connection that died; they use a fresh one.

--- a/src/platform/runner_port.h
+++ b/src/platform/runner_port.h
@@ -17,6 +17,7 @@
 // One call as it goes to a runner.
 struct runner_request {
   std::string call_id;  // Echoed by the runner; matched against the answer.
+  bool once = false;    // Must not be sent twice, whatever happens.
   std::string method;
   std::string path;
   std::vector<http_header> headers;
--- /dev/null
+++ b/src/platform_http/worker_json.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include "platform/worker_port.h"
+
+namespace monsoonmux {
+
+// The JSON forms of what goes to and from a worker. The readers throw
+// nlohmann::json exceptions on missing or wrong members.
+nlohmann::json to_json(const resources& value);
+resources read_resources(const nlohmann::json& value);
+nlohmann::json to_json(const right_request& value);
+right_request read_right_request(const nlohmann::json& value);
+nlohmann::json to_json(const right_answer& value);
+right_answer read_right_answer(const nlohmann::json& value);
+nlohmann::json to_json(const sync_request& value);
+sync_request read_sync_request(const nlohmann::json& value);
+nlohmann::json to_json(const worker_report& value);
+worker_report read_worker_report(const nlohmann::json& value);
+nlohmann::json to_json(const start_request& value);
+start_request read_start_request(const nlohmann::json& value);
+nlohmann::json to_json(const stop_request& value);
+stop_request read_stop_request(const nlohmann::json& value);
+
+std::string_view to_string(report_phase phase);
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/wire/peer_message.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/quantity.h"
+#include "base/resources.h"
+
+namespace monsoonmux {
+
+// What the sender places, as part of its heartbeat.
+struct placing_info {
+  domain_id domain;
+  epoch number;
+  bool ready = false;
+  resources free;
+  std::int64_t waiting = 0;  // Units.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(domain, number, ready, free, waiting);
+  }
+};
+
+// How many calls the sender may have at one runner, or of one team, as it last
+// adopted it.
+struct slot_holding {
+  std::string subject;  // A runner, or "team:" and a team.
+  std::int32_t slots = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(subject, slots);
+  }
+};
+
+// Tells the others that the sender lives, and how far it is.
+struct heartbeat {
+  domain_id domain;
+  std::string http;  // "A.B.C.D:PORT"
+  std::string peer;  // "A.B.C.D:PORT"
+  bool draining = false;
+  std::int64_t now = 0;  // The sender's monotonic clock, in ms.
+  log_offset next;       // The next log entry it will apply.
+  config_version version;
+  std::int64_t grant_seen = 0;  // Number of the newest slot grant adopted.
+  std::vector<slot_holding> held;
+  std::vector<placing_info> placing;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(domain, http, peer, draining, now, next, version, grant_seen, held, placing);
+  }
+};
+
+// From a domain's placer: what the receiver may use until its own clock shows
+// `valid_until`. A later number replaces an earlier one.
+struct slot_grant {
+  domain_id domain;
+  epoch placer;
+  std::int64_t number = 0;
+  std::int64_t valid_until = 0;  // On the receiver's monotonic clock, in ms.
+  std::vector<slot_holding> slots;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(domain, placer, number, valid_until, slots);
+  }
+};
+
+// A domain lacks part of a team's upper limit.
+struct budget_request {
+  team_id team;
+  domain_id to;
+  resources amount;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(team, to, amount);
+  }
+};
+
+// Asks over TCP for log entries from an offset on.
+struct log_pull {
+  log_offset from;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(from);
+  }
+};
+
+struct pulled_entry {
+  log_offset offset;
+  std::string bytes;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(offset, bytes);
+  }
+};
+
+// The answer: a run of entries, or a snapshot if they are not kept any more.
+struct log_pulled {
+  std::vector<pulled_entry> entries;
+  log_offset first_kept;
+  log_offset end;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(entries, first_kept, end);
+  }
+};
+
+using peer_body = std::variant<heartbeat, slot_grant, budget_request, log_pull, log_pulled>;
+
+struct peer_message {
+  daemon_id sender;
+  std::int64_t incarnation = 0;  // Wall time at the sender's start, in ms.
+  std::int64_t sequence = 0;     // Grows with every message of an incarnation.
+  peer_body body;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(sender, incarnation, sequence, body);
+  }
+};
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/wire/sealer.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "base/failure.h"
+#include "wire/peer_message.h"
+
+namespace monsoonmux {
+
+// Codes and authenticates messages between daemons.
+//
+// A message is preceded by an HMAC under the cell's shared secret. open() fails,
+// and reads nothing further, if it does not match. For messages that must not be
+// replayed, fresh() tells whether a message is newer than all that came before
+// it from its sender. Safe to call from any thread.
+class sealer {
+ public:
+  explicit sealer(const std::string& secret);
+
+  std::string seal(const peer_message& message) const;
+  result<peer_message> open(const std::string& bytes) const;
+  bool fresh(const peer_message& message);
+
+ private:
+  struct seen {
+    std::int64_t incarnation = 0;
+    std::int64_t sequence = 0;
+  };
+
+  std::string key;
+  std::mutex lock;
+  std::map<daemon_id, seen> newest;
+};
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/wire/testing/wire_test.cc
@@ -0,0 +1,88 @@
+#include <asio.hpp>
+#include <catch2/catch.hpp>
+#include <future>
+#include <random>
+
+#include "wire/peer_link.h"
+
+namespace monsoonmux {
+namespace {
+
+peer_message sample(std::int64_t sequence) {
+  heartbeat beat;
+  beat.domain = domain_id("d");
+  beat.held = {{"r1", 4}};
+  return {daemon_id("m1"), 10, sequence, beat};
+}
+
+}  // namespace
+
+TEST_CASE("a sealed message opens under the same secret only") {
+  const sealer one("secret");
+  const sealer other("different");
+  const std::string bytes = one.seal(sample(1));
+  REQUIRE(one.open(bytes).has_value());
+  CHECK(std::get<heartbeat>(one.open(bytes).value().body).held[0].slots == 4);
+  CHECK(other.open(bytes).error().code == error_code::unauthorized);
+}
+
+TEST_CASE("random and damaged bytes never open and never crash") {
+  const sealer one("secret");
+  const std::string bytes = one.seal(sample(1));
+  std::mt19937 random(7);
+  for (int i = 0; i < 20'000; ++i) {
+    std::string damaged = bytes;
+    damaged[random() % damaged.size()] = static_cast<char>(random());
+    damaged.resize(random() % (damaged.size() + 1));
+    if (damaged != bytes) {
+      CHECK(one.open(damaged).has_error());
+    }
+  }
+}
+
+TEST_CASE("a replayed or older message is not fresh") {
+  sealer one("secret");
+  CHECK(one.fresh(sample(2)));
+  CHECK_FALSE(one.fresh(sample(2)));
+  CHECK_FALSE(one.fresh(sample(1)));
+  CHECK(one.fresh(sample(3)));
+  peer_message restarted = sample(1);
+  restarted.incarnation = 11;
+  CHECK(one.fresh(restarted));
+  CHECK_FALSE(one.fresh(sample(4)));
+}
+
+TEST_CASE("datagrams and requests pass between two links, and junk is dropped") {
+  sealer seals_a("secret");
+  sealer seals_b("secret");
+  std::promise<std::string> got;
+  const endpoint at_a{"127.0.0.1", 17'431};
+  const endpoint at_b{"127.0.0.1", 17'432};
+  peer_link a(at_a, daemon_id("a"), 1, seals_a, [](const peer_message&) {},
+              [](const peer_message&) { return peer_body(heartbeat{}); });
+  peer_link b(
+      at_b, daemon_id("b"), 1, seals_b,
+      [&](const peer_message& m) { got.set_value(m.sender.text); },
+      [](const peer_message&) { return peer_body(log_pulled{{{{3}, "x"}}, {3}, {4}}); });
+
+  asio::io_context io;
+  asio::ip::udp::socket junk(io, asio::ip::udp::v4());
+  junk.send_to(asio::buffer(std::string(100, 'x')),
+               {asio::ip::make_address("127.0.0.1"), 17'432});
+  a.send(at_b, heartbeat{});
+  CHECK(got.get_future().get() == "a");
+  CHECK(b.dropped() == 1);
+
+  std::promise<std::int64_t> end;
+  a.ask(at_b, log_pull{{3}}, [&](const result<peer_body>& r) {
+    end.set_value(std::get<log_pulled>(r.value()).end.value);
+  });
+  CHECK(end.get_future().get() == 4);
+
+  std::promise<bool> refused;
+  a.ask({"127.0.0.1", 1}, log_pull{{3}},
+        [&](const result<peer_body>& r) { refused.set_value(r.has_error()); });
+  CHECK(refused.get_future().get());
+}
+
+}  // namespace monsoonmux
