Membership, slot grants and the call lane

Cause: calls need runner slots that are exclusive to one daemon without a round trip each. Conclusion: a lease needs its holder's incarnation.

--- /dev/null
+++ b/src/call/retry_budget.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <algorithm>
+
+namespace monsoonmux {
+
+// Bounds retries to a part of the calls, so that a failing pool does not get a
+// multiple of its load. Not thread-safe.
+class retry_budget {
+ public:
+  // Each call earns this much of a retry.
+  static constexpr double per_call = 0.1;
+  static constexpr double most = 20.0;
+
+  void on_call() { this->tokens = std::min(most, this->tokens + per_call); }
+  bool spend() {
+    if (this->tokens < 1.0) {
+      return false;
+    }
+    this->tokens -= 1.0;
+    return true;
+  }
+
+ private:
+  double tokens = most / 2;
+};
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/member/membership.cc
@@ -0,0 +1,44 @@
+#include "member/membership.h"
+
+namespace monsoonmux {
+
+void membership::on_heartbeat(const daemon_id& sender, std::int64_t incarnation,
+                              const heartbeat& beat, instant now) {
+  const std::lock_guard hold(this->lock);
+  member& m = this->members[sender];
+  if (incarnation < m.incarnation) {
+    return;
+  }
+  m = {sender, incarnation, beat, now};
+}
+
+std::vector<member> membership::alive(instant now) const {
+  const std::lock_guard hold(this->lock);
+  std::vector<member> out;
+  for (const auto& [id, m] : this->members) {
+    if (now - m.heard <= this->options.dead_after) {
+      out.push_back(m);
+    }
+  }
+  return out;
+}
+
+std::vector<member> membership::all(instant now) {
+  const std::lock_guard hold(this->lock);
+  std::erase_if(this->members, [&](const auto& item) {
+    return now - item.second.heard > this->options.forget_after;
+  });
+  std::vector<member> out;
+  for (const auto& [id, m] : this->members) {
+    out.push_back(m);
+  }
+  return out;
+}
+
+std::optional<member> membership::find(const daemon_id& id) const {
+  const std::lock_guard hold(this->lock);
+  const auto it = this->members.find(id);
+  return it == this->members.end() ? std::nullopt : std::optional<member>(it->second);
+}
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/member/testing/member_test.cc
@@ -0,0 +1,51 @@
+#include <catch2/catch.hpp>
+
+#include "member/candidacy.h"
+
+namespace monsoonmux {
+namespace {
+
+heartbeat beat(const std::string& domain, std::vector<placing_info> placing = {}) {
+  heartbeat b;
+  b.domain = domain_id(domain);
+  b.placing = std::move(placing);
+  return b;
+}
+
+}  // namespace
+
+TEST_CASE("a member is alive while it is heard, and an earlier incarnation is not taken") {
+  membership table({});
+  table.on_heartbeat(daemon_id("a"), 5, beat("x"), {0});
+  table.on_heartbeat(daemon_id("a"), 4, beat("y"), {100});
+  CHECK(table.alive({2'500}).size() == 1);
+  CHECK(table.find(daemon_id("a"))->last.domain == domain_id("x"));
+  CHECK(table.alive({2'501}).empty());
+  CHECK(table.all({2'501}).size() == 1);
+  CHECK(table.all({700'000}).empty());
+}
+
+TEST_CASE("one local daemon tries at once, the next a step later, foreign ones last") {
+  membership table({{1'000'000}, {1'000'000}});
+  for (const char* name : {"a", "b"}) {
+    table.on_heartbeat(daemon_id(name), 1, beat("x"), {0});
+  }
+  table.on_heartbeat(daemon_id("c"), 1, beat("y"), {0});
+  candidacy a(daemon_id("a"), domain_id("x"), {});
+  candidacy b(daemon_id("b"), domain_id("x"), {});
+  candidacy c(daemon_id("c"), domain_id("y"), {});
+  const auto tries = [&](std::int64_t t) {
+    const auto alive = table.alive({t});
+    return std::make_tuple(a.should_try(domain_id("x"), alive, {t}) +
+                               b.should_try(domain_id("x"), alive, {t}),
+                           c.should_try(domain_id("x"), alive, {t}));
+  };
+  CHECK(tries(0) == std::make_tuple(1, false));
+  CHECK(tries(1'500) == std::make_tuple(2, false));
+  CHECK(tries(11'000) == std::make_tuple(2, true));
+  table.on_heartbeat(daemon_id("b"), 1, beat("x", {{domain_id("x"), {1}, true, {}, 0}}), {11'000});
+  CHECK_FALSE(a.should_try(domain_id("x"), table.alive({11'001}), {11'001}));
+  CHECK(b.should_try(domain_id("x"), table.alive({11'001}), {11'001}));
+}
+
+}  // namespace monsoonmux
--- a/src/wire/peer_message.h
+++ b/src/wire/peer_message.h
@@ -46,13 +46,14 @@
   std::int64_t now = 0;  // The sender's monotonic clock, in ms.
   log_offset next;       // The next log entry it will apply.
   config_version version;
-  std::int64_t grant_seen = 0;  // Number of the newest slot grant adopted.
+  epoch grant_placer;           // Newest slot grant adopted: its placer
+  std::int64_t grant_seen = 0;  // and its number.
   std::vector<slot_holding> held;
   std::vector<placing_info> placing;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(domain, http, peer, draining, now, next, version, grant_seen, held, placing);
+    archive(domain, http, peer, draining, now, next, version, grant_placer, grant_seen, held, placing);
   }
 };
 
@@ -60,6 +61,7 @@
 // `valid_until`. A later number replaces an earlier one.
 struct slot_grant {
   domain_id domain;
+  std::int64_t receiver = 0;  // The receiver's incarnation; others ignore it.
   epoch placer;
   std::int64_t number = 0;
   std::int64_t valid_until = 0;  // On the receiver's monotonic clock, in ms.
@@ -67,7 +69,7 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(domain, placer, number, valid_until, slots);
+    archive(domain, receiver, placer, number, valid_until, slots);
   }
 };
 
