The daemon and the stand-in: the whole path runs

Cause: no request was served yet. Change: node (control loop), HTTP front with call, job and operator APIs, JSON-line logs, metrics, stand-in platform with fault switches.

--- a/src/control/domain_placer.cc
+++ b/src/control/domain_placer.cc
@@ -152,6 +152,7 @@
   this->flushing = false;
   this->desk.reset();
   this->fenced = false;
+  this->first_ever = false;
   this->terms_version = {-1};
   for (auto& [id, link] : this->links.all()) {
     const worker_host host = link.host;
@@ -184,6 +185,8 @@
         }
         if (outcome.value() == record_outcome::applied) {
           self->fenced = true;
+          self->first_ever = self->right.number().value == 1 &&
+                             self->state.fence_count(self->domain) == 1;
           self->desk.set_confirmed();
         } else {
           self->right.raise(self->state.fence_of(self->domain));
@@ -1028,6 +1031,8 @@
   s.domain = this->domain;
   s.phase = this->phase;
   s.number = this->right.number();
+  s.fenced = this->fenced;
+  s.first_ever = this->first_ever;
   s.workers = this->links.all().size();
   if (this->schedule) {
     for (const auto& row : this->schedule->workers().all()) {
--- a/src/control/domain_placer.h
+++ b/src/control/domain_placer.h
@@ -23,6 +23,8 @@
   domain_id domain;
   placer_phase phase = placer_phase::idle;
   epoch number;
+  bool fenced = false;      // Has read its own fence back.
+  bool first_ever = false;  // No placer came before, by the log.
   resources capacity;
   resources free;
   std::size_t running = 0;
@@ -167,6 +169,7 @@
   bool resigned = false;
   instant release_at;
   bool fenced = false;
+  bool first_ever = false;
   instant began;
   std::int64_t change_cursor = 0;
   config_version terms_version{-1};
--- /dev/null
+++ b/src/daemon/cell_view.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "platform/host_list.h"
+
+namespace monsoonmux {
+
+// The newest list of hosts from the platform, shared between threads.
+class cell_view {
+ public:
+  void set(host_snapshot value) {
+    auto next = std::make_shared<const host_snapshot>(std::move(value));
+    const std::lock_guard hold(this->lock);
+    this->current = std::move(next);
+  }
+  std::shared_ptr<const host_snapshot> hosts() const {
+    const std::lock_guard hold(this->lock);
+    return this->current;
+  }
+
+ private:
+  mutable std::mutex lock;
+  std::shared_ptr<const host_snapshot> current = std::make_shared<const host_snapshot>();
+};
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/daemon/front.cc
@@ -0,0 +1,78 @@
+#include "daemon/front.h"
+
+#include "daemon/api_json.h"
+
+namespace monsoonmux {
+namespace {
+
+constexpr std::chrono::milliseconds pump_step{10};
+const std::string jobs_root = "/v1/jobs";
+
+server_options server_options_of(const settings& config) {
+  server_options out;
+  out.address = config.http.address;
+  out.port = config.http.port;
+  out.threads = config.http_threads;
+  out.max_body_bytes = static_cast<std::size_t>(config.max_body_bytes);
+  out.max_connections = static_cast<std::size_t>(config.max_connections);
+  out.read_timeout = config.header_timeout;
+  return out;
+}
+
+}  // namespace
+
+front::front(node& owner)
+    : owner(owner), calls(owner.parts()), jobs(owner.parts()), operators(owner.parts()) {
+  this->server = std::make_unique<http_server>(
+      server_options_of(owner.parts().config),
+      [this](const http_request& request, const http_respond& respond) {
+        ++this->open;
+        this->handle(request, [this, respond](http_response answer) {
+          if (this->owner.is_draining()) {
+            answer.headers.push_back({"Connection", "close"});
+          }
+          respond(std::move(answer));
+          --this->open;
+        });
+      });
+  this->pump = std::thread([this] {
+    while (!this->stopping) {
+      this->jobs.pump();
+      std::this_thread::sleep_for(pump_step);
+    }
+  });
+}
+
+front::~front() {
+  this->stopping = true;
+  this->pump.join();
+  this->server.reset();
+}
+
+// A draining daemon tells the balancer first and goes on serving what still
+// comes, so that nothing is refused that another daemon would have taken.
+http_response front::health() const {
+  nlohmann::ordered_json body;
+  body["state"] = this->owner.is_draining() ? "draining" : "serving";
+  http_response out = ok(body);
+  out.status = this->owner.is_draining() ? 503 : 200;
+  return out;
+}
+
+void front::handle(const http_request& request, const http_respond& respond) {
+  if (request.path == "/healthz") {
+    respond(this->health());
+  } else if (request.path == "/metrics") {
+    respond({200, "text/plain; version=0.0.4", {}, this->owner.parts().numbers.text()});
+  } else if (call_api::matches(request.path)) {
+    this->calls.handle(request, respond);
+  } else if (operator_api::matches(request.path)) {
+    this->operators.handle(request, respond);
+  } else if (request.path == jobs_root || request.path.rfind(jobs_root + "/", 0) == 0) {
+    this->jobs.handle(request, respond);
+  } else {
+    respond(refusal(not_run(error_code::not_found, "no such path: " + request.path)));
+  }
+}
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/daemon/front.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <thread>
+
+#include "daemon/call_api.h"
+#include "daemon/job_api.h"
+#include "daemon/node.h"
+#include "daemon/operator_api.h"
+#include "http/http_server.h"
+
+namespace monsoonmux {
+
+// The HTTP front of one daemon: hands each request to the API that it is for.
+class front {
+ public:
+  explicit front(node& owner);
+  ~front();
+  front(const front&) = delete;
+  front& operator=(const front&) = delete;
+
+  // Requests that were not answered yet.
+  std::int64_t open_requests() const { return this->open; }
+
+ private:
+  void handle(const http_request& request, const http_respond& respond);
+  http_response health() const;
+
+  node& owner;
+  call_api calls;
+  job_api jobs;
+  operator_api operators;
+  std::atomic<std::int64_t> open{0};
+  std::atomic<bool> stopping{false};
+  std::thread pump;
+  std::unique_ptr<http_server> server;
+};
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/daemon/home_chooser.cc
@@ -0,0 +1,87 @@
+#include "daemon/home_chooser.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace monsoonmux {
+namespace {
+
+// How many amounts `each` one `room` holds.
+double times(const resources& room, const resources& each) {
+  double n = 1e9;
+  const auto bound = [&n](std::int64_t have, std::int64_t want) {
+    if (want > 0) {
+      n = std::min(n, static_cast<double>(std::max<std::int64_t>(have, 0)) /
+                          static_cast<double>(want));
+    }
+  };
+  bound(room.cpu.value, each.cpu.value);
+  bound(room.memory.value, each.memory.value);
+  bound(room.accelerators.value, each.accelerators.value);
+  return n;
+}
+
+}  // namespace
+
+std::vector<home_chooser::domain_room> home_chooser::rooms(const job_spec& spec) const {
+  std::map<domain_id, domain_room> found;
+  for (const worker_host& worker : this->hosts.workers) {
+    const auto slots = static_cast<std::int64_t>(times(worker.total, spec.per_task));
+    if (worker.pool == spec.pool && slots > 0) {
+      found[worker.domain].domain = worker.domain;
+      found[worker.domain].slots += slots;
+    }
+  }
+  for (const member& m : this->alive) {
+    for (const placing_info& p : m.last.placing) {
+      if (const auto it = found.find(p.domain); it != found.end() && p.ready) {
+        it->second.placed = true;
+        it->second.free = times(p.free, spec.per_task);
+        it->second.waiting = p.waiting;
+      }
+    }
+  }
+  std::vector<domain_room> out;
+  for (const auto& [domain, room] : found) {
+    out.push_back(room);
+  }
+  const std::size_t turn = std::hash<job_id>{}(spec.id);
+  const auto tie = [turn](const domain_room& r) {
+    return std::hash<std::string>{}(r.domain.text) ^ turn;
+  };
+  const auto wanted = static_cast<double>(spec.tasks);
+  std::sort(out.begin(), out.end(), [&](const domain_room& a, const domain_room& b) {
+    return std::make_tuple(!a.placed, a.waiting > 0, -std::min(a.free, wanted), a.waiting,
+                           tie(a)) < std::make_tuple(!b.placed, b.waiting > 0,
+                                                     -std::min(b.free, wanted), b.waiting, tie(b));
+  });
+  return out;
+}
+
+result<std::vector<job_part>> home_chooser::choose(const job_spec& spec) const {
+  std::vector<domain_room> domains = this->rooms(spec);
+  if (spec.kind == work_kind::gang) {
+    std::erase_if(domains, [&](const domain_room& r) { return r.slots < spec.tasks; });
+  }
+  if (domains.empty()) {
+    return not_run(error_code::unsatisfiable,
+                   "no failure domain has workers for this in pool \"" + spec.pool.text + "\"");
+  }
+  if (spec.kind != work_kind::service) {
+    return std::vector<job_part>{{domains.front().domain, 0, spec.tasks}};
+  }
+  std::vector<job_part> parts;
+  std::int32_t first = 0;
+  const auto count = static_cast<std::int32_t>(domains.size());
+  for (std::int32_t i = 0; i < count; ++i) {
+    const std::int32_t n = spec.tasks / count + (i < spec.tasks % count ? 1 : 0);
+    if (n > 0) {
+      parts.push_back({domains[static_cast<std::size_t>(i)].domain, first, n});
+      first += n;
+    }
+  }
+  return parts;
+}
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/daemon/job_api.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "daemon/access.h"
+
+namespace monsoonmux {
+
+// Callers' requests about jobs: /v1/jobs and below; see docs/API.md.
+class job_api {
+ public:
+  explicit job_api(node_core& core) : core(core) {}
+
+  void handle(const http_request& request, const http_respond& respond);
+  // Answers waits that are due. Called every few ms by the front.
+  void pump();
+  std::int64_t open_waits() const;
+
+ private:
+  struct wait {
+    job_id id;
+    instant deadline;
+    http_respond respond;
+  };
+
+  void submit(const http_request& request, const http_respond& respond);
+  void append(const job& value, const http_respond& respond);
+  void list(const access& who, const http_request& request, const http_respond& respond) const;
+  void show(const access& who, const job_id& id, const http_respond& respond) const;
+  void cancel(const access& who, const job_id& id, const http_respond& respond);
+  void begin_wait(const access& who, const job_id& id, const http_request& request,
+                  const http_respond& respond);
+  result<job> find(const access& who, const job_id& id) const;
+
+  node_core& core;
+  mutable std::mutex lock;
+  std::vector<wait> waits;
+};
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/daemon/node.cc
@@ -0,0 +1,334 @@
+// The control loop. Every step is short and reads shared parts through their own
+// locks, so a slow worker or log delays only the answer it owes. Heartbeats carry
+// all that peers need to act: rights, log position, slots held; there is no other
+// protocol between daemons but log pulls.
+
+#include "daemon/node.h"
+
+#include <algorithm>
+
+namespace monsoonmux {
+namespace {
+
+constexpr std::chrono::milliseconds loop_step{20};
+constexpr millis placer_step{100};
+constexpr millis hosts_step{500};
+constexpr millis refresh_step{10'000};
+constexpr instant never{INT64_MAX};
+
+// A record is written again when it is this old, well before a retention of an
+// hour or more ends.
+constexpr millis refresh_age{20 * 60'000};
+constexpr std::size_t refresh_batch = 64;
+constexpr std::int64_t keep_finished_ms = 24 * 3'600'000;
+constexpr millis quiet_before_stop{1'000};
+
+}  // namespace
+
+node::node(const settings& options)
+    : core(options),
+      seals(options.peer_secret),
+      candidates(options.daemon, options.domain, {}),
+      grantor(this->core) {
+  this->link = std::make_unique<peer_link>(
+      options.peer, options.daemon, this->core.incarnation, this->seals, this->core.logical,
+      [this](const peer_message& m) { this->on_datagram(m); },
+      [this](const peer_message& m) { return this->on_request(m); });
+  this->core.peer_source.set_link(this->link.get());
+  this->core.events.emit("daemon_started", {{"domain", options.domain.text}});
+  this->control = std::thread([this] { this->run(); });
+}
+
+node::~node() {
+  this->stopping = true;
+  this->control.join();
+  this->core.peer_source.set_link(nullptr);
+  this->link.reset();
+}
+
+void node::run() {
+  while (!this->stopping) {
+    this->tick(this->core.time.now());
+    std::this_thread::sleep_for(loop_step);
+  }
+}
+
+void node::tick(instant now) {
+  this->core.writer.tick();
+  this->core.follower.tick();
+  this->apply_config();
+  for (const auto& lane : this->core.lanes()) {
+    lane->pump();
+  }
+  if (now >= this->next_hosts) {
+    this->next_hosts = now + hosts_step;
+    this->fetch_hosts();
+  }
+  this->apply_hosts();
+  if (now >= this->next_placers) {
+    this->next_placers = now + placer_step;
+    this->update_candidates(now);
+    for (const auto& placer : this->core.placers()) {
+      placer->tick();
+    }
+  }
+  if (now >= this->next_beat) {
+    this->next_beat = now + this->core.config.heartbeat;
+    this->beat(now);
+    this->grantor.tick(now, [this](const member& to, const slot_grant& grant) {
+      if (to.id == this->core.config.daemon) {
+        this->core.slots.adopt(grant);
+      } else {
+        this->send_to(to, grant);
+      }
+    });
+    this->send_wishes(now);
+    this->publish_numbers();
+  }
+  if (now >= this->next_refresh) {
+    this->next_refresh = now + refresh_step;
+    this->refresh_records(now);
+  }
+}
+
+void node::apply_config() {
+  const config_ptr config = this->core.state.config();
+  if (config->version == this->applied_config) {
+    return;
+  }
+  this->applied_config = config->version;
+  this->core.events.emit("config_in_force",
+                         {{"config_version", std::to_string(config->version.value)}});
+  for (const auto& [domain, terms] : config->doc.domains) {
+    this->core.placer(domain);
+  }
+  for (const auto& [name, queue] : config->doc.queues) {
+    if (queue.kind != queue_kind::calls) {
+      continue;
+    }
+    const auto lane = this->core.lane(queue.pool);
+    for (const auto& [team, terms] : config->doc.teams) {
+      constexpr std::int64_t no_call_limit = 1'000'000;
+      lane->set_share(team, terms.share, terms.limit.calls < no_call_limit);
+    }
+  }
+  // Waiting calls of teams that have no key any more are refused.
+  const auto may_call = [&](const team_id& team) {
+    const auto has_key = [&](const auto& key) { return key.second.team == team; };
+    const auto is_open = [&](const auto& queue) {
+      return queue.second.open && queue.second.open_team == team;
+    };
+    return std::any_of(config->doc.keys.begin(), config->doc.keys.end(), has_key) ||
+           std::any_of(config->doc.queues.begin(), config->doc.queues.end(), is_open);
+  };
+  for (const auto& lane : this->core.lanes()) {
+    lane->refuse_unless(may_call);
+  }
+  this->applied_hosts.reset();
+}
+
+void node::fetch_hosts() {
+  this->core.host_list.fetch([this](const result<host_snapshot>& answer) {
+    if (answer.has_value()) {
+      this->core.hosts.set(answer.value());
+    }
+  });
+}
+
+// While the platform is away the last list stays in use.
+void node::apply_hosts() {
+  const auto hosts = this->core.hosts.hosts();
+  const bool same = this->applied_hosts && (this->applied_hosts == hosts ||
+                                            (this->applied_hosts->workers == hosts->workers &&
+                                             this->applied_hosts->runners == hosts->runners));
+  if (same) {
+    return;
+  }
+  this->applied_hosts = hosts;
+  this->core.workers.set_hosts(hosts->workers);
+  this->core.runners.set_hosts(hosts->runners);
+  for (const auto& lane : this->core.lanes()) {
+    lane->set_runners(hosts->runners);
+  }
+  for (const auto& placer : this->core.placers()) {
+    const domain_id domain = placer->status().domain;
+    std::vector<worker_host> own;
+    for (const worker_host& w : hosts->workers) {
+      if (w.domain == domain) {
+        own.push_back(w);
+      }
+    }
+    placer->set_hosts(own);
+  }
+}
+
+heartbeat node::make_heartbeat(instant now) const {
+  heartbeat out;
+  out.domain = this->core.config.domain;
+  out.http = this->core.config.http.text();
+  out.peer = this->core.config.peer.text();
+  out.draining = this->draining;
+  out.now = now.value;
+  out.next = this->core.follower.next();
+  out.version = this->core.state.config()->version;
+  out.grant_placer = this->core.slots.newest_placer();
+  out.grant_seen = this->core.slots.newest();
+  out.held = this->core.slots.held();
+  for (const auto& placer : this->core.placers()) {
+    const placer_status s = placer->status();
+    if (s.phase != placer_phase::idle) {
+      out.placing.push_back({s.domain, s.number, s.phase == placer_phase::placing, s.free,
+                             static_cast<std::int64_t>(s.waiting)});
+    }
+  }
+  return out;
+}
+
+void node::beat(instant now) {
+  const heartbeat own = this->make_heartbeat(now);
+  this->core.members.on_heartbeat(this->core.config.daemon, this->core.incarnation, own, now);
+  for (const endpoint& peer : this->core.config.peers) {
+    if (!(peer == this->core.config.peer)) {
+      this->link->send(peer, own);
+    }
+  }
+}
+
+void node::update_candidates(instant now) {
+  const auto alive = this->core.members.alive(now);
+  for (const auto& placer : this->core.placers()) {
+    placer->set_candidate(!this->draining &&
+                          this->candidates.should_try(placer->status().domain, alive, now));
+  }
+}
+
+void node::send_wishes(instant now) {
+  for (const auto& placer : this->core.placers()) {
+    for (const budget_wish& wish : placer->wishes()) {
+      for (const auto& other : this->core.placers()) {
+        other->on_wish(wish);
+      }
+      for (const member& m : this->core.members.alive(now)) {
+        if (m.id != this->core.config.daemon && !m.last.placing.empty()) {
+          this->send_to(m, budget_request{wish.team, wish.to, wish.amount});
+        }
+      }
+    }
+  }
+}
+
+// Carries the state past the log's retention. The first live daemon by name does
+// it; two that both think they are first do no harm.
+void node::refresh_records(instant now) {
+  this->core.state.forget_finished(this->core.time.wall_ms() - keep_finished_ms);
+  const auto alive = this->core.members.alive(now);
+  const bool first = !alive.empty() && alive.front().id == this->core.config.daemon;
+  if (!first || !this->core.follower.platform_reachable() || this->core.writer.waiting() > 0) {
+    return;
+  }
+  const instant before = now - refresh_age;
+  if (this->core.state.config()->version.value > 0 &&
+      this->core.state.config_written() < before) {
+    this->core.writer.append(this->core.state.make_refresh(), never, nullptr);
+    for (const budget_transfer& t : this->core.state.budget_records()) {
+      this->core.writer.append(t, never, nullptr);
+    }
+    for (const auto& placer : this->core.placers()) {
+      const domain_id domain = placer->status().domain;
+      for (const worker_id& w : this->core.state.workers(domain)) {
+        this->core.writer.append(worker_joined{w, domain}, never, nullptr);
+      }
+    }
+  }
+  for (const job& j : this->core.state.stale_jobs(before, refresh_batch)) {
+    this->core.writer.append(job_record{j}, never, nullptr);
+  }
+}
+
+void node::publish_numbers() {
+  metrics& numbers = this->core.numbers;
+  numbers.gauge("config_version", static_cast<double>(this->core.state.config()->version.value));
+  numbers.gauge("jobs", static_cast<double>(this->core.state.job_count()));
+  numbers.gauge("log_next_offset", static_cast<double>(this->core.follower.next().value));
+  numbers.gauge("log_reachable", this->core.follower.platform_reachable() ? 1 : 0);
+  numbers.gauge("log_entries_skipped", static_cast<double>(this->core.state.skipped_entries()));
+  numbers.gauge("log_appends", static_cast<double>(this->core.writer.appends()));
+  numbers.gauge("log_append_bytes", static_cast<double>(this->core.writer.bytes()));
+  numbers.gauge("peer_sent_bytes", static_cast<double>(this->link->sent_bytes()));
+  numbers.gauge("peer_received_bytes", static_cast<double>(this->link->received_bytes()));
+  numbers.gauge("peer_dropped_messages", static_cast<double>(this->link->dropped()));
+  lane_counts sum;
+  for (const auto& lane : this->core.lanes()) {
+    const lane_counts c = lane->counts();
+    sum.admitted += c.admitted;
+    sum.answered += c.answered;
+    sum.refused += c.refused;
+    sum.may_have_run += c.may_have_run;
+    sum.retries += c.retries;
+    sum.waiting += c.waiting;
+  }
+  numbers.gauge("calls_admitted", static_cast<double>(sum.admitted));
+  numbers.gauge("calls_answered", static_cast<double>(sum.answered));
+  numbers.gauge("calls_refused", static_cast<double>(sum.refused));
+  numbers.gauge("calls_may_have_run", static_cast<double>(sum.may_have_run));
+  numbers.gauge("calls_retried", static_cast<double>(sum.retries));
+  numbers.gauge("calls_waiting", static_cast<double>(sum.waiting));
+}
+
+void node::on_datagram(const peer_message& message) {
+  const instant now = this->core.time.now();
+  if (const auto* beat = std::get_if<heartbeat>(&message.body)) {
+    this->core.members.on_heartbeat(message.sender, message.incarnation, *beat, now);
+    this->core.follower.hint(beat->next);
+  } else if (const auto* grant = std::get_if<slot_grant>(&message.body)) {
+    this->core.slots.adopt(*grant);
+  } else if (const auto* wish = std::get_if<budget_request>(&message.body)) {
+    for (const auto& placer : this->core.placers()) {
+      placer->on_wish({wish->team, wish->to, wish->amount});
+    }
+  }
+}
+
+peer_body node::on_request(const peer_message& message) {
+  if (const auto* pull = std::get_if<log_pull>(&message.body)) {
+    // The number must differ between daemons and restarts, not only here.
+    const std::int64_t number = this->core.incarnation * 1'000 + ++this->snapshots;
+    return peer_log::serve(*pull, this->core.follower, this->core.state, number);
+  }
+  return log_pulled{};
+}
+
+void node::send_to(const member& to, const peer_body& body) {
+  const auto address = parse_endpoint(to.last.peer);
+  if (address.has_value()) {
+    this->link->send(address.value(), body);
+  }
+}
+
+bool node::drain(const std::function<std::int64_t()>& open_requests) {
+  this->draining = true;
+  this->core.events.emit("drain_started", {});
+  for (const auto& placer : this->core.placers()) {
+    placer->set_candidate(false);
+    placer->resign();
+  }
+  const instant limit = this->core.time.now() + this->core.config.drain_timeout;
+  instant quiet_since = this->core.time.now();
+  bool done = false;
+  while (!done && this->core.time.now() < limit) {
+    std::this_thread::sleep_for(loop_step);
+    const auto lanes = this->core.lanes();
+    const auto placers = this->core.placers();
+    const bool quiet =
+        open_requests() == 0 && this->core.writer.idle() &&
+        std::all_of(lanes.begin(), lanes.end(), [](const auto& l) { return l->idle(); }) &&
+        std::all_of(placers.begin(), placers.end(), [](const auto& p) { return p->released(); });
+    quiet_since = quiet ? quiet_since : this->core.time.now();
+    done = this->core.time.now() - quiet_since >= quiet_before_stop;
+  }
+  this->core.slots.drain();
+  this->core.events.emit("drain_ended", {{"complete", done ? "true" : "false"}});
+  return done;
+}
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/daemon/node.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <thread>
+
+#include "daemon/node_core.h"
+#include "daemon/slot_grantor.h"
+#include "member/candidacy.h"
+#include "wire/peer_link.h"
+
+namespace monsoonmux {
+
+// One daemon without its HTTP front: the parts, and the control thread that
+// drives them. The constructor throws std::runtime_error if the peer port is
+// taken.
+//
+//   node n(settings);
+//   ...
+//   n.drain([] { return open_requests(); });
+class node {
+ public:
+  explicit node(const settings& options);
+  ~node();
+  node(const node&) = delete;
+  node& operator=(const node&) = delete;
+
+  node_core& parts() { return this->core; }
+  bool is_draining() const { return this->draining; }
+
+  // Tells balancer and peers, gives rights up, and serves until no request is
+  // open and none came for a while. Returns true if that was so within the
+  // settings' drain_timeout.
+  bool drain(const std::function<std::int64_t()>& open_requests);
+
+ private:
+  void run();
+  void tick(instant now);
+  void apply_config();
+  void fetch_hosts();
+  void apply_hosts();
+  void beat(instant now);
+  heartbeat make_heartbeat(instant now) const;
+  void update_candidates(instant now);
+  void send_wishes(instant now);
+  void refresh_records(instant now);
+  void publish_numbers();
+  void on_datagram(const peer_message& message);
+  peer_body on_request(const peer_message& message);
+  void send_to(const member& to, const peer_body& body);
+
+  node_core core;
+  sealer seals;
+  candidacy candidates;
+  slot_grantor grantor;
+  std::unique_ptr<peer_link> link;
+
+  // Used by the control thread alone.
+  config_version applied_config{-1};
+  std::shared_ptr<const host_snapshot> applied_hosts;
+  instant next_placers;
+  instant next_beat;
+  instant next_hosts;
+  instant next_refresh;
+
+  std::atomic<bool> draining{false};
+  std::atomic<bool> stopping{false};
+  std::atomic<std::int64_t> snapshots{0};
+  std::thread control;
+};
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/daemon/node_core.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <asio/thread_pool.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+
+#include "call/call_lane.h"
+#include "config/settings.h"
+#include "control/domain_placer.h"
+#include "daemon/cell_view.h"
+#include "daemon/event_recorder.h"
+#include "daemon/metrics.h"
+#include "daemon/peer_log.h"
+#include "journal/log_writer.h"
+#include "member/membership.h"
+#include "platform_http/hosts_http.h"
+#include "platform_http/log_http.h"
+#include "platform_http/runner_http.h"
+#include "platform_http/worker_http.h"
+
+namespace monsoonmux {
+
+// The parts of one daemon that its control loop and its HTTP front share, wired
+// together. Each part is safe to use from any thread.
+struct node_core {
+  explicit node_core(const settings& options);
+  ~node_core();
+  node_core(const node_core&) = delete;
+  node_core& operator=(const node_core&) = delete;
+
+  // The lane of a pool; made when it is first asked for.
+  std::shared_ptr<call_lane> lane(const pool_id& pool);
+  std::vector<std::shared_ptr<call_lane>> lanes() const;
+  // The placer of a domain; made when the configuration first names it.
+  std::shared_ptr<domain_placer> placer(const domain_id& domain);
+  std::vector<std::shared_ptr<domain_placer>> placers() const;
+
+  const settings config;
+  const system_clock time;
+  const std::int64_t incarnation;
+  logical_clock logical;
+  event_recorder events;
+  metrics numbers;
+  cell_view hosts;
+  client_pool log_clients;     // Kept apart, so that slow workers
+  client_pool worker_clients;  // never delay the log.
+  log_http log;
+  hosts_http host_list;
+  worker_http workers;
+  runner_http runners;
+  replica state;
+  membership members;
+  log_writer writer;
+  peer_log peer_source;
+  log_follower follower;
+  slot_book slots;
+
+ private:
+  mutable std::mutex lock;
+  std::map<domain_id, std::shared_ptr<domain_placer>> placer_map;
+  std::map<pool_id, std::shared_ptr<call_lane>> lane_map;
+  asio::thread_pool call_threads;
+};
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/daemon/peer_log.cc
@@ -0,0 +1,72 @@
+#include "daemon/peer_log.h"
+
+namespace monsoonmux {
+namespace {
+
+constexpr std::size_t max_page_bytes = 4 << 20;
+
+log_page to_page(const log_pulled& pulled) {
+  log_page page;
+  page.first_kept = pulled.first_kept;
+  page.end = pulled.end;
+  for (const pulled_entry& entry : pulled.entries) {
+    page.entries.push_back({entry.offset, entry.bytes});
+  }
+  return page;
+}
+
+}  // namespace
+
+void peer_log::append(std::string, reply<log_offset> done) {
+  done(not_run(error_code::unavailable, "daemons do not take appends for each other"));
+}
+
+void peer_log::read(log_offset from, reply<log_page> done) {
+  std::optional<member> best;
+  for (const member& m : this->members.alive(this->time.now())) {
+    if (m.id != this->self && (!best || m.last.next > best->last.next)) {
+      best = m;
+    }
+  }
+  const auto address = best ? parse_endpoint(best->last.peer)
+                            : result<endpoint>(not_run(error_code::unavailable, "no live peer"));
+  if (address.has_error() || this->link == nullptr) {
+    done(not_run(error_code::unavailable, "no live peer"));
+    return;
+  }
+  this->link->ask(address.value(), log_pull{from}, [done](const result<peer_body>& answer) {
+    if (answer.has_error()) {
+      done(answer.error());
+    } else if (const auto* pulled = std::get_if<log_pulled>(&answer.value())) {
+      done(to_page(*pulled));
+    } else {
+      done(not_run(error_code::malformed_answer, "not an answer to a pull"));
+    }
+  });
+}
+
+log_pulled peer_log::serve(const log_pull& pull, const log_follower& follower,
+                           const replica& state, std::int64_t snapshot_number) {
+  log_pulled out;
+  const log_offset next = follower.next();
+  out.first_kept = pull.from;
+  out.end = next;
+  if (pull.from >= next) {
+    return out;
+  }
+  log_page page;
+  if (follower.cache().read(pull.from, max_page_bytes, page)) {
+    for (const log_entry& entry : page.entries) {
+      out.entries.push_back({entry.offset, entry.bytes});
+    }
+    return out;
+  }
+  // Taken after `next`, so it holds at least what lies before it.
+  for (const std::string& bytes : state.snapshot(snapshot_number)) {
+    out.entries.push_back({snapshot_offset, bytes});
+  }
+  out.first_kept = next;
+  return out;
+}
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/daemon/slot_grantor.cc
@@ -0,0 +1,88 @@
+#include "daemon/slot_grantor.h"
+
+#include <algorithm>
+
+namespace monsoonmux {
+namespace {
+
+// Limits of this many calls and more are taken for no limit.
+constexpr std::int64_t no_call_limit = 1'000'000;
+
+}  // namespace
+
+void slot_grantor::tick(instant now, const send_grant& send) {
+  for (const auto& placer : this->core.placers()) {
+    const placer_status status = placer->status();
+    if (status.phase == placer_phase::idle) {
+      this->domains.erase(status.domain);
+    } else {
+      this->grant_domain(status, now, send);
+    }
+  }
+}
+
+millis slot_grantor::longest_call() const {
+  millis longest{};
+  for (const auto& [name, queue] : this->core.state.config()->doc.queues) {
+    if (queue.kind == queue_kind::calls) {
+      longest = std::max(longest, queue.deadline);
+    }
+  }
+  return longest;
+}
+
+std::vector<slot_subject> slot_grantor::subjects(const domain_id& domain) const {
+  std::vector<slot_subject> out;
+  for (const runner_host& host : this->core.hosts.hosts()->runners) {
+    if (host.domain == domain && !host.leaving) {
+      out.push_back({host.runner.text, std::min(host.slots, host.connections)});
+    }
+  }
+  const config_ptr config = this->core.state.config();
+  const auto& names = config->doc.domains;
+  const auto index = std::distance(names.begin(), names.find(domain));
+  const auto count = static_cast<std::int64_t>(names.size());
+  for (const auto& [team, terms] : config->doc.teams) {
+    if (terms.limit.calls < no_call_limit && count > 0) {
+      const std::int64_t part =
+          terms.limit.calls / count + (index < terms.limit.calls % count ? 1 : 0);
+      out.push_back({"team:" + team.text, static_cast<std::int32_t>(part)});
+    }
+  }
+  return out;
+}
+
+void slot_grantor::grant_domain(const placer_status& status, instant now,
+                                const send_grant& send) {
+  domain_state& d = this->domains[status.domain];
+  if (!d.ledger || d.number != status.number) {
+    // The first placer that a domain ever has knows that there are no grants.
+    const bool first_ever = status.first_ever;
+    if (!first_ever && status.phase == placer_phase::recovering && !status.fenced &&
+        status.number.value == 1) {
+      return;  // The fence will tell; waiting costs less than guessing.
+    }
+    d.number = status.number;
+    d.ledger = std::make_unique<slot_ledger>(slot_options{}, status.number,
+                                             this->longest_call(), now, first_ever);
+  }
+  std::vector<member> receivers;
+  std::vector<slot_taker> takers;
+  for (const member& m : this->core.members.alive(now)) {
+    if (m.last.domain == status.domain && !m.last.draining) {
+      receivers.push_back(m);
+      takers.push_back({m.id, m.incarnation, m.last.now, m.last.grant_placer, m.last.grant_seen,
+                        m.last.held});
+    }
+  }
+  if (takers.empty()) {
+    return;
+  }
+  std::vector<slot_grant> grants = d.ledger->plan(this->subjects(status.domain), takers, now);
+  for (std::size_t i = 0; i < grants.size(); ++i) {
+    grants[i].domain = status.domain;
+    send(receivers[i], grants[i]);
+  }
+}
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/daemon/slot_grantor.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "call/slot_ledger.h"
+#include "daemon/node_core.h"
+
+namespace monsoonmux {
+
+// Divides the runners' slots, and the teams' limits on calls, of the domains in
+// which this daemon places. Used by the control thread alone.
+class slot_grantor {
+ public:
+  using send_grant = std::function<void(const member&, const slot_grant&)>;
+
+  explicit slot_grantor(node_core& core) : core(core) {}
+
+  // Sends each daemon of those domains its grant.
+  void tick(instant now, const send_grant& send);
+
+ private:
+  struct domain_state {
+    epoch number;
+    std::unique_ptr<slot_ledger> ledger;
+  };
+
+  void grant_domain(const placer_status& status, instant now, const send_grant& send);
+  std::vector<slot_subject> subjects(const domain_id& domain) const;
+  millis longest_call() const;
+
+  node_core& core;
+  std::map<domain_id, domain_state> domains;
+};
+
+}  // namespace monsoonmux
--- a/src/http/client_pool.cc
+++ b/src/http/client_pool.cc
@@ -21,7 +21,9 @@
   }
 }
 
-client_pool::~client_pool() {
+client_pool::~client_pool() { this->stop(); }
+
+void client_pool::stop() {
   std::deque<job> left;
   {
     const std::lock_guard hold(this->lock);
@@ -32,6 +34,7 @@
   for (std::thread& t : this->threads) {
     t.join();
   }
+  this->threads.clear();
   for (const job& j : left) {
     j.done(not_run(error_code::shutting_down, "the client is stopping"));
   }
--- a/src/http/client_pool.h
+++ b/src/http/client_pool.h
@@ -17,11 +17,14 @@
 class client_pool {
  public:
   client_pool(int threads, std::size_t max_waiting);
-  // Fails what waits and ends the threads after their present request.
   ~client_pool();
   client_pool(const client_pool&) = delete;
   client_pool& operator=(const client_pool&) = delete;
 
+  // Fails what waits and ends the threads after their present request. After it,
+  // no reply is given any more and send() fails at once.
+  void stop();
+
   // Runs `check` just before sending; if it is false the request is not sent.
   void send(client_request request, std::function<bool()> check, reply<client_answer> done);
 
--- /dev/null
+++ b/src/standin/standin_history.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <mutex>
+
+#include "base/clock.h"
+#include "history/history_event.h"
+
+namespace monsoonmux {
+
+// What the stand-in's workers and runners saw, for the history checker.
+class standin_history {
+ public:
+  explicit standin_history(const clock& time) : time(time) {}
+
+  void add(history_event e) {
+    const std::lock_guard hold(this->lock);
+    e.at_ms = this->time.wall_ms();
+    this->events.push_back(std::move(e));
+  }
+  history all() const {
+    const std::lock_guard hold(this->lock);
+    return this->events;
+  }
+
+ private:
+  const clock& time;
+  mutable std::mutex lock;
+  history events;
+};
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/standin/standin_runner.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include "http/http_server.h"
+#include "platform/host_list.h"
+#include "standin/standin_faults.h"
+#include "standin/standin_history.h"
+
+namespace monsoonmux {
+
+// A backend server on a port of its own. It answers a call after the header
+// X-Work-Ms (or at once), echoes X-Call-Id and the body, and counts how many it
+// works on at the same time.
+class standin_runner {
+ public:
+  standin_runner(runner_host host, int port, const standin_faults& faults,
+                 standin_history& seen, asio::io_context& timers);
+
+  const runner_host& description() const { return this->host; }
+  int most_at_once() const { return this->most; }
+  std::int64_t calls() const { return this->served; }
+  // Takes requests and never answers, as a connection that went silent.
+  std::atomic<bool> silent{false};
+  std::atomic<bool> leaving{false};
+
+ private:
+  void handle(const http_request& request, const http_respond& respond);
+  void finish(const http_request& request, const http_respond& respond);
+
+  const runner_host host;
+  const standin_faults& faults;
+  standin_history& seen;
+  asio::io_context& timers;
+  std::atomic<int> busy{0};
+  std::atomic<int> most{0};
+  std::atomic<std::int64_t> served{0};
+  std::unique_ptr<http_server> server;
+};
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/standin/standin_worker.cc
@@ -0,0 +1,193 @@
+#include "standin/standin_worker.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "platform_http/worker_json.h"
+
+namespace monsoonmux {
+namespace {
+
+// A worker that has been up for long, so that it may vote at once.
+constexpr millis initial_uptime{3'600'000};
+constexpr millis forever{1'000'000'000};
+
+http_response answer(const nlohmann::json& body) {
+  return {200, "application/json", {}, body.dump()};
+}
+
+http_response refuse(int status, const std::string& why) {
+  return {status, "application/json", {}, nlohmann::json{{"error", why}}.dump()};
+}
+
+millis duration_of(const std::string& command) {
+  const std::size_t colon = command.find(':');
+  return colon == std::string::npos ? forever : millis{std::stoll(command.substr(colon + 1))};
+}
+
+}  // namespace
+
+standin_worker::standin_worker(worker_host host, const clock& time, standin_history& seen)
+    : host(std::move(host)),
+      time(time),
+      seen(seen),
+      boot(time.now() - initial_uptime),
+      vote(this->boot) {
+  history_event e;
+  e.kind = history_kind::worker_size;
+  e.subject = this->host.worker.text;
+  e.amount = this->host.total;
+  this->seen.add(e);
+}
+
+bool standin_worker::late(worker_time not_after) const {
+  return not_after != no_deadline && this->time.now().value >= not_after;
+}
+
+bool standin_worker::outdated(const domain_id& domain, epoch number) {
+  epoch& known = this->epochs[domain];
+  known = std::max(known, number);
+  return number < known;
+}
+
+http_response standin_worker::handle(const std::string& verb, const http_request& request) {
+  const std::lock_guard hold(this->lock);
+  this->tick_locked();
+  try {
+    const auto body = nlohmann::json::parse(request.body);
+    if (verb == "acquire") {
+      return answer(
+          to_json(this->vote.on_request(read_right_request(body), this->time.now())));
+    }
+    if (this->late(body.at("not_after").get<worker_time>())) {
+      return refuse(408, "the command came too late");
+    }
+    if (this->outdated(domain_id(body.at("domain").get<std::string>()), {body.at("epoch")})) {
+      return refuse(409, "the command is of an earlier epoch");
+    }
+    if (verb == "sync") {
+      return answer(to_json(this->sync(read_sync_request(body))));
+    }
+    if (verb == "start") {
+      this->start(read_start_request(body));
+    } else if (verb == "stop") {
+      this->stop(read_stop_request(body));
+    } else {
+      return refuse(404, "no such verb");
+    }
+    return answer(nlohmann::json::object());
+  } catch (const std::exception& error) {
+    return refuse(400, error.what());
+  }
+}
+
+worker_report standin_worker::sync(const sync_request& request) {
+  for (const task_run& run : request.ended) {
+    const auto it = this->tasks.find(run);
+    if (it != this->tasks.end() && it->second.phase != report_phase::running) {
+      this->tasks.erase(it);
+    }
+  }
+  const instant now = this->time.now();
+  worker_report out;
+  out.now = now.value;
+  out.uptime = now - this->boot;
+  for (auto& [run, t] : this->tasks) {
+    if (t.phase == report_phase::running && request.lease.value > 0) {
+      t.lease_until = now + request.lease;
+    }
+    out.tasks.push_back({run.task, run.attempt, t.phase, t.amount, t.amount, now - t.started,
+                         now - t.checkpointed});
+  }
+  return out;
+}
+
+void standin_worker::start(const start_request& request) {
+  if (this->tasks.count(request.run) != 0) {
+    return;
+  }
+  const instant now = this->time.now();
+  task t;
+  t.amount = request.amount;
+  t.started = now;
+  t.checkpointed = now;
+  t.ends = now + duration_of(request.command);
+  t.lease_until = now + request.lease;
+  t.fails = this->fails_all || request.command.rfind("fail", 0) == 0;
+  this->tasks[request.run] = t;
+  history_event e;
+  e.kind = history_kind::task_started;
+  e.subject = this->host.worker.text;
+  e.task = request.run.task.text();
+  e.number = request.run.attempt;
+  e.amount = request.amount;
+  this->seen.add(e);
+}
+
+void standin_worker::stop(const stop_request& request) {
+  const auto it = this->tasks.find(request.run);
+  if (it != this->tasks.end() && it->second.phase == report_phase::running) {
+    this->end(it->first, it->second, report_phase::stopped);
+  }
+}
+
+void standin_worker::end(const task_run& run, task& t, report_phase phase) {
+  t.phase = phase;
+  history_event e;
+  e.kind = history_kind::task_stopped;
+  e.subject = this->host.worker.text;
+  e.task = run.task.text();
+  e.number = run.attempt;
+  e.phase = to_string(phase);
+  this->seen.add(e);
+}
+
+void standin_worker::tick() {
+  const std::lock_guard hold(this->lock);
+  this->tick_locked();
+}
+
+void standin_worker::tick_locked() {
+  const instant now = this->time.now();
+  for (auto& [run, t] : this->tasks) {
+    if (t.phase != report_phase::running) {
+      continue;
+    }
+    if (t.ends <= now && t.ends <= t.lease_until) {
+      this->end(run, t, t.fails ? report_phase::failed : report_phase::succeeded);
+    } else if (t.lease_until <= now) {
+      this->end(run, t, report_phase::stopped);
+    }
+  }
+}
+
+void standin_worker::restart() {
+  const std::lock_guard hold(this->lock);
+  this->tick_locked();
+  for (auto& [run, t] : this->tasks) {
+    if (t.phase == report_phase::running) {
+      this->end(run, t, report_phase::stopped);
+    }
+  }
+  this->tasks.clear();
+  this->epochs.clear();
+  this->boot = this->time.now();
+  this->vote = elector(this->boot);
+}
+
+void standin_worker::set_silent(bool value) {
+  const std::lock_guard hold(this->lock);
+  this->silent = value;
+}
+
+bool standin_worker::is_silent() const {
+  const std::lock_guard hold(this->lock);
+  return this->silent;
+}
+
+void standin_worker::set_fails_all(bool value) {
+  const std::lock_guard hold(this->lock);
+  this->fails_all = value;
+}
+
+}  // namespace monsoonmux
--- a/src/state/budget.cc
+++ b/src/state/budget.cc
@@ -71,6 +71,7 @@
     return false;
   }
   known = value.number;
+  ++this->fence_counts[value.domain];
   return true;
 }
 
@@ -145,6 +146,11 @@
   return it == this->fences.end() ? epoch{} : it->second;
 }
 
+std::int64_t budget_book::fence_count(const domain_id& domain) const {
+  const auto it = this->fence_counts.find(domain);
+  return it == this->fence_counts.end() ? 0 : it->second;
+}
+
 std::vector<budget_transfer> budget_book::records() const {
   std::vector<budget_transfer> out;
   for (const auto& [team, entry] : this->entries) {
--- a/src/state/budget.h
+++ b/src/state/budget.h
@@ -46,6 +46,7 @@
   resources given(const team_id& team, const domain_id& from, const domain_id& to) const;
   std::vector<limit_since> limit_versions() const;
   epoch fence_of(const domain_id& domain) const;
+  std::int64_t fence_count(const domain_id& domain) const;
   // Every total in force, as records to append again.
   std::vector<budget_transfer> records() const;
 
@@ -61,6 +62,7 @@
   std::map<team_id, team_entry> entries;
   std::set<domain_id> domains;
   std::map<domain_id, epoch> fences;
+  std::map<domain_id, std::int64_t> fence_counts;
 };
 
 }  // namespace monsoonmux
--- a/src/state/replica.cc
+++ b/src/state/replica.cc
@@ -306,6 +306,11 @@
   return this->budgets.fence_of(domain);
 }
 
+std::int64_t replica::fence_count(const domain_id& domain) const {
+  const std::lock_guard hold(this->budget_lock);
+  return this->budgets.fence_count(domain);
+}
+
 std::vector<job> replica::stale_jobs(instant written_before, std::size_t limit) const {
   std::vector<std::pair<instant, job>> found;
   for (const shard& s : this->shards) {
--- a/src/state/replica.h
+++ b/src/state/replica.h
@@ -58,6 +58,8 @@
   // The record that carries the configuration past the log's retention.
   config_refresh make_refresh() const;
   epoch fence_of(const domain_id& domain) const;
+  // How many placers of the domain have written a fence that this daemon read.
+  std::int64_t fence_count(const domain_id& domain) const;
 
   // Called for every record of `writer` that is applied, with its envelope's
   // sequence number and its place in the envelope. Set once, before apply().
--- a/src/wire/peer_link.cc
+++ b/src/wire/peer_link.cc
@@ -78,8 +78,8 @@
 }  // namespace
 
 struct peer_link::state : std::enable_shared_from_this<peer_link::state> {
-  state(daemon_id name, std::int64_t incarnation, sealer& seals)
-      : name(std::move(name)), incarnation(incarnation), seals(seals) {}
+  state(daemon_id name, std::int64_t incarnation, sealer& seals, logical_clock& logical)
+      : name(std::move(name)), incarnation(incarnation), seals(seals), logical(logical) {}
 
   void open(const endpoint& listen);
   void receive();
@@ -91,6 +91,7 @@
   const daemon_id name;
   const std::int64_t incarnation;
   sealer& seals;
+  logical_clock& logical;
   on_datagram datagram;
   on_request request;
   asio::io_context io;
@@ -118,7 +119,8 @@
 }
 
 std::string peer_link::state::make(peer_body body) {
-  return this->seals.seal({this->name, this->incarnation, ++this->sequence, std::move(body)});
+  return this->seals.seal({this->name, this->incarnation, ++this->sequence, this->logical.next(),
+                           std::move(body)});
 }
 
 void peer_link::state::receive() {
@@ -142,6 +144,7 @@
     ++this->dropped;
     return;
   }
+  this->logical.observe(opened.value().logical);
   this->datagram(opened.value());
 }
 
@@ -182,8 +185,9 @@
 }
 
 peer_link::peer_link(const endpoint& listen, daemon_id self, std::int64_t incarnation,
-                     sealer& seals, on_datagram datagram, on_request request)
-    : self(std::make_shared<state>(std::move(self), incarnation, seals)) {
+                     sealer& seals, logical_clock& logical, on_datagram datagram,
+                     on_request request)
+    : self(std::make_shared<state>(std::move(self), incarnation, seals, logical)) {
   this->self->datagram = std::move(datagram);
   this->self->request = std::move(request);
   try {
--- a/src/wire/peer_link.h
+++ b/src/wire/peer_link.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "base/logical_clock.h"
 #include "config/settings.h"
 #include "wire/sealer.h"
 
@@ -23,7 +24,7 @@
   using on_request = std::function<peer_body(const peer_message&)>;
 
   peer_link(const endpoint& listen, daemon_id self, std::int64_t incarnation, sealer& seals,
-            on_datagram datagram, on_request request);
+            logical_clock& logical, on_datagram datagram, on_request request);
   ~peer_link();
   peer_link(const peer_link&) = delete;
   peer_link& operator=(const peer_link&) = delete;
--- a/src/wire/peer_message.h
+++ b/src/wire/peer_message.h
@@ -123,11 +123,12 @@
   daemon_id sender;
   std::int64_t incarnation = 0;  // Wall time at the sender's start, in ms.
   std::int64_t sequence = 0;     // Grows with every message of an incarnation.
+  std::int64_t logical = 0;      // The sender's logical clock.
   peer_body body;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(sender, incarnation, sequence, body);
+    archive(sender, incarnation, sequence, logical, body);
   }
 };
 
--- a/src/wire/testing/wire_test.cc
+++ b/src/wire/testing/wire_test.cc
@@ -12,7 +12,7 @@
   heartbeat beat;
   beat.domain = domain_id("d");
   beat.held = {{"r1", 4}};
-  return {daemon_id("m1"), 10, sequence, beat};
+  return {daemon_id("m1"), 10, sequence, 0, beat};
 }
 
 }  // namespace
@@ -55,13 +55,14 @@
 TEST_CASE("datagrams and requests pass between two links, and junk is dropped") {
   sealer seals_a("secret");
   sealer seals_b("secret");
+  logical_clock logical;
   std::promise<std::string> got;
   const endpoint at_a{"127.0.0.1", 17'431};
   const endpoint at_b{"127.0.0.1", 17'432};
-  peer_link a(at_a, daemon_id("a"), 1, seals_a, [](const peer_message&) {},
+  peer_link a(at_a, daemon_id("a"), 1, seals_a, logical, [](const peer_message&) {},
               [](const peer_message&) { return peer_body(heartbeat{}); });
   peer_link b(
-      at_b, daemon_id("b"), 1, seals_b,
+      at_b, daemon_id("b"), 1, seals_b, logical,
       [&](const peer_message& m) { got.set_value(m.sender.text); },
       [](const peer_message&) { return peer_body(log_pulled{{{{3}, "x"}}, {3}, {4}}); });
 
