Command line, load tool, demo and scripted tests of real daemons

Change: monsoonmux with 23 verbs, an open-loop load tool whose latencies count from when a call was due, tools/demo, tools/testing/system_test, run-demo and run-tests.

--- /dev/null
+++ b/src/cli/output.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "cli/command.h"
+
+namespace monsoonmux {
+
+// Rows of text in aligned columns.
+class table {
+ public:
+  explicit table(std::vector<std::string> head) { this->rows.push_back(std::move(head)); }
+  void add(std::vector<std::string> row) { this->rows.push_back(std::move(row)); }
+  void print() const;
+
+ private:
+  std::vector<std::vector<std::string>> rows;
+};
+
+// The exit code that an answer or failure stands for; prints refusals and
+// failures to standard error.
+int exit_code_of(const result<client_answer>& answer);
+
+// The JSON body of a good answer. Prints the failure, sets `code`, and returns
+// null if there is none.
+nlohmann::ordered_json body_of(const result<client_answer>& answer, int& code);
+
+// A JSON value as a table cell.
+std::string cell(const nlohmann::ordered_json& value);
+
+// Unix milliseconds as HH:MM:SS.mmm in UTC, or "-" for 0.
+std::string clock_text(std::int64_t wall_ms);
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/cli/server_client.cc
@@ -0,0 +1,34 @@
+#include "cli/server_client.h"
+
+namespace monsoonmux {
+
+result<client_answer> server_client::send(const std::string& method, const std::string& path,
+                                          const std::string& body,
+                                          const std::vector<header_field>& headers,
+                                          millis timeout) {
+  failure last = not_run(error_code::connection_failed, "no daemon is named; use --server");
+  for (const std::string& server : this->servers) {
+    client_request request;
+    request.method = method;
+    request.url = "http://" + server + path;
+    request.headers = headers;
+    if (!this->key.empty()) {
+      request.headers.push_back({"Authorization", "Bearer " + this->key});
+    }
+    request.body = body;
+    request.timeout = timeout;
+    request.fresh_connection = true;
+    auto answer = this->client.send(request);
+    if (answer.has_value()) {
+      return answer;
+    }
+    last = answer.error();
+    last.detail = server + ": " + last.detail;
+    if (last.effect != verdict::not_run) {
+      break;
+    }
+  }
+  return last;
+}
+
+}  // namespace monsoonmux
