--- a/src/base/clock.cc
+++ b/src/base/clock.cc
@@ -16,8 +16,12 @@
 
 }  // namespace
 
-instant system_clock::now() const { return {read_ms(CLOCK_BOOTTIME)}; }
+instant system_clock::now() const {
+  return {read_ms(CLOCK_BOOTTIME)};
+}
 
-std::int64_t system_clock::wall_ms() const { return read_ms(CLOCK_REALTIME); }
+std::int64_t system_clock::wall_ms() const {
+  return read_ms(CLOCK_REALTIME);
+}
 
 }  // namespace monsoonmux
--- a/src/call/call_lane.cc
+++ b/src/call/call_lane.cc
@@ -40,28 +40,28 @@
 }
 
 void call_lane::submit(call_request call, std::int64_t most_waiting, reply<call_answer> done) {
-  bool full = false;
-  {
-    const std::lock_guard hold(this->lock);
-    team_line& line = this->lines[call.team];
-    full = static_cast<std::int64_t>(line.waiting.size()) >= most_waiting;
-    if (full) {
-      ++this->numbers.refused;
-    } else {
-      ++this->numbers.admitted;
-      this->retries.on_call();
-      auto p = std::make_shared<pending>();
-      p->call = std::move(call);
-      p->done = std::move(done);
-      p->queued = this->time.now();
-      line.waiting.push_back(std::move(p));
-    }
+  auto p = std::make_shared<pending>();
+  p->call = std::move(call);
+  p->done = std::move(done);
+  p->queued = this->time.now();
+  if (this->admit(p, most_waiting)) {
+    this->pump();
+  } else {
+    p->done(not_run(error_code::overloaded, "the team's queue on this daemon is full"));
   }
-  if (full) {
-    done(not_run(error_code::overloaded, "the team's queue on this daemon is full"));
-    return;
+}
+
+bool call_lane::admit(const pending_ptr& p, std::int64_t most_waiting) {
+  const std::lock_guard hold(this->lock);
+  team_line& line = this->lines[p->call.team];
+  if (static_cast<std::int64_t>(line.waiting.size()) >= most_waiting) {
+    ++this->numbers.refused;
+    return false;
   }
-  this->pump();
+  ++this->numbers.admitted;
+  this->retries.on_call();
+  line.waiting.push_back(p);
+  return true;
 }
 
 void call_lane::pump() {
@@ -180,9 +180,9 @@
   const auto start = std::chrono::steady_clock::now();
   // The grant may have ended while this waited for a thread or was paused.
   const bool valid = this->time.now() < call.deadline && this->slots.newest() != 0;
-  const auto answer = valid ? this->port.call(d.runner, request)
-                            : result<runner_answer>(
-                                  not_run(error_code::deadline_exceeded, "not sent in time"));
+  const auto answer =
+      valid ? this->port.call(d.runner, request)
+            : result<runner_answer>(not_run(error_code::deadline_exceeded, "not sent in time"));
   const std::chrono::duration<double, std::milli> took = std::chrono::steady_clock::now() - start;
   this->finish(d, answer, took.count());
 }
@@ -192,8 +192,7 @@
   return allowed && d.call->call.deadline > now && this->retries.spend();
 }
 
-void call_lane::finish(const dispatch& d, const result<runner_answer>& answer,
-                       double latency_ms) {
+void call_lane::finish(const dispatch& d, const result<runner_answer>& answer, double latency_ms) {
   this->slots.release(d.slots);
   std::function<void()> tell;
   {
--- a/src/call/call_lane.h
+++ b/src/call/call_lane.h
@@ -25,7 +25,7 @@
 struct lane_counts {
   std::int64_t admitted = 0;
   std::int64_t answered = 0;
-  std::int64_t refused = 0;       // not_run
+  std::int64_t refused = 0;  // not_run
   std::int64_t may_have_run = 0;
   std::int64_t retries = 0;
   std::int64_t waiting = 0;
@@ -84,6 +84,7 @@
   };
   using answers = std::vector<std::function<void()>>;
 
+  bool admit(const pending_ptr& p, std::int64_t most_waiting);
   void expire(instant now, answers& out);
   bool next(instant now, dispatch& out);
   bool choose(pending& p, team_line& line, instant now, dispatch& out);
--- a/src/call/slot_book.cc
+++ b/src/call/slot_book.cc
@@ -22,9 +22,8 @@
   for (const slot_holding& h : grant.slots) {
     this->entries[h.subject].granted = this->draining ? 0 : h.slots;
   }
-  std::erase_if(this->entries, [](const auto& item) {
-    return item.second.granted == 0 && item.second.used == 0;
-  });
+  std::erase_if(this->entries,
+                [](const auto& item) { return item.second.granted == 0 && item.second.used == 0; });
 }
 
 std::int32_t slot_book::free_locked(const std::string& subject, std::int64_t now) const {
--- a/src/call/slot_book.h
+++ b/src/call/slot_book.h
@@ -16,8 +16,7 @@
 // to call from any thread.
 class slot_book {
  public:
-  slot_book(const clock& time, std::int64_t incarnation)
-      : time(time), incarnation(incarnation) {}
+  slot_book(const clock& time, std::int64_t incarnation) : time(time), incarnation(incarnation) {}
 
   // Adopts a grant, unless it is for another incarnation of this daemon, older
   // than one adopted from the same placer, or from an earlier placer.
--- a/src/call/slot_ledger.cc
+++ b/src/call/slot_ledger.cc
@@ -21,14 +21,15 @@
 // A daemon that has adopted the newest grant uses no more than it says.
 void slot_ledger::confirm(const std::vector<slot_taker>& takers) {
   for (const slot_taker& taker : takers) {
-    for (auto& [k, a] : this->accounts) {
+    for (auto& item : this->accounts) {
+      const key& k = item.first;
+      account& a = item.second;
       const bool own = k.daemon == taker.daemon && k.incarnation == taker.incarnation;
       if (!own || taker.grant_placer != this->placer || taker.grant_seen < a.number) {
         continue;
       }
-      const auto it = std::find_if(taker.held.begin(), taker.held.end(), [&](const auto& h) {
-        return h.subject == k.subject;
-      });
+      const auto it = std::find_if(taker.held.begin(), taker.held.end(),
+                                   [&](const auto& h) { return h.subject == k.subject; });
       const std::int32_t held = it == taker.held.end() ? 0 : it->slots;
       a.reserved = std::max(a.granted, held);
     }
@@ -57,13 +58,13 @@
       reserved += k.subject == subject.name ? a.reserved : 0;
     }
     for (std::size_t i = 0; i < takers.size(); ++i) {
-      const auto [it, fresh] = this->accounts.try_emplace(
-          key{subject.name, takers[i].daemon, takers[i].incarnation});
+      const auto [it, fresh] =
+          this->accounts.try_emplace(key{subject.name, takers[i].daemon, takers[i].incarnation});
       account& a = it->second;
       if (fresh) {
-        const auto held = std::find_if(
-            takers[i].held.begin(), takers[i].held.end(),
-            [&](const slot_holding& h) { return h.subject == subject.name; });
+        const auto held =
+            std::find_if(takers[i].held.begin(), takers[i].held.end(),
+                         [&](const slot_holding& h) { return h.subject == subject.name; });
         a.reserved = held == takers[i].held.end() ? 0 : held->slots;
         a.granted = a.reserved;
         reserved += a.reserved;
--- a/src/call/testing/call_lane_test.cc
+++ b/src/call/testing/call_lane_test.cc
@@ -1,8 +1,8 @@
+#include "call/call_lane.h"
+
 #include <catch2/catch.hpp>
 #include <deque>
 
-#include "call/call_lane.h"
-
 namespace monsoonmux {
 namespace {
 
--- a/src/call/testing/slot_test.cc
+++ b/src/call/testing/slot_test.cc
@@ -128,9 +128,9 @@
       daemon& d = this->daemons[static_cast<std::size_t>(i)];
       while (this->awake(d) && this->pick(3) != 0 && d.book->take({subject})) {
         this->served = true;
-        this->calls.push_back({i, d.incarnation,
-                               this->time.now() + millis{this->pick(
-                                                      static_cast<int>(longest_call.value))}});
+        this->calls.push_back(
+            {i, d.incarnation,
+             this->time.now() + millis{this->pick(static_cast<int>(longest_call.value))}});
       }
     }
   }
@@ -177,15 +177,14 @@
   slot_book a(time, 1);
   slot_book b(time, 1);
   const auto taker = [&](const char* name, const slot_book& book) {
-    return slot_taker{daemon_id(name), 1, time.now().value, book.newest_placer(), book.newest(),
-                      book.held()};
+    return slot_taker{daemon_id(name), 1,          time.now().value, book.newest_placer(),
+                      book.newest(),   book.held()};
   };
   a.adopt(ledger.plan({{subject, total}}, {taker("a", a)}, time.now())[0]);
   CHECK(a.free(subject) == total);
   for (int i = 0; i < 3; ++i) {
     time.advance({500});
-    const auto grants =
-        ledger.plan({{subject, total}}, {taker("a", a), taker("b", b)}, time.now());
+    const auto grants = ledger.plan({{subject, total}}, {taker("a", a), taker("b", b)}, time.now());
     a.adopt(grants[0]);
     b.adopt(grants[1]);
   }
--- a/src/cli/check_command.cc
+++ b/src/cli/check_command.cc
@@ -42,6 +42,8 @@
 
 }  // namespace
 
-void add_check_command(command_list& to) { to.push_back(std::make_unique<check>()); }
+void add_check_command(command_list& to) {
+  to.push_back(std::make_unique<check>());
+}
 
 }  // namespace monsoonmux
--- a/src/cli/config_commands.cc
+++ b/src/cli/config_commands.cc
@@ -53,10 +53,10 @@
       }
       base = now["version"].dump();
     }
-    const json body = body_of(
-        context.servers.send("PATCH", "/v1/config", patch.str(),
-                             {{"If-Match", base}, {"X-Author", context.text("author")}}),
-        code);
+    const json body =
+        body_of(context.servers.send("PATCH", "/v1/config", patch.str(),
+                                     {{"If-Match", base}, {"X-Author", context.text("author")}}),
+                code);
     if (code == exit_done) {
       std::cout << (context.json ? body.dump() : "version " + body["version"].dump()) << "\n";
     }
--- a/src/cli/job_commands.cc
+++ b/src/cli/job_commands.cc
@@ -71,8 +71,7 @@
       body["idempotency_key"] = key;
     }
     int code = exit_done;
-    const json answer =
-        body_of(context.servers.send("POST", "/v1/jobs", body.dump()), code);
+    const json answer = body_of(context.servers.send("POST", "/v1/jobs", body.dump()), code);
     if (code == exit_done) {
       std::cout << (context.json ? answer.dump() : cell(answer["id"])) << "\n";
     }
@@ -112,9 +111,8 @@
     const std::int64_t timeout = context.given["timeout-ms"].as<std::int64_t>();
     constexpr millis slack{5'000};
     const auto answer = context.servers.send(
-        "GET",
-        "/v1/jobs/" + context.text("job") + "/wait?timeout_ms=" + std::to_string(timeout), "", {},
-        millis{timeout} + slack);
+        "GET", "/v1/jobs/" + context.text("job") + "/wait?timeout_ms=" + std::to_string(timeout),
+        "", {}, millis{timeout} + slack);
     const int code = show_job(context, answer);
     if (code != exit_done) {
       return code;
@@ -127,7 +125,9 @@
 class job_list final : public command {
  public:
   std::string name() const override { return "job list"; }
-  std::string summary() const override { return "list the team's jobs; all with the operators' key"; }
+  std::string summary() const override {
+    return "list the team's jobs; all with the operators' key";
+  }
   int run(const command_context& context) override {
     int code = exit_done;
     const json body = body_of(context.servers.send("GET", "/v1/jobs"), code);
--- a/src/cli/key_commands.cc
+++ b/src/cli/key_commands.cc
@@ -20,9 +20,9 @@
     if (code != exit_done) {
       return code;
     }
-    const auto answer = context.servers.send("PATCH", "/v1/config", patch.dump(),
-                                             {{"If-Match", now["version"].dump()},
-                                              {"X-Author", "key command"}});
+    const auto answer =
+        context.servers.send("PATCH", "/v1/config", patch.dump(),
+                             {{"If-Match", now["version"].dump()}, {"X-Author", "key command"}});
     constexpr int conflict = 409;
     if (answer.has_error() || answer.value().status != conflict) {
       body_of(answer, code);
--- a/src/cli/load_commands.cc
+++ b/src/cli/load_commands.cc
@@ -54,9 +54,9 @@
     bool ok = false;
     const std::string file = context.text("experiment");
     const std::string text = read_file(file, ok);
-    const auto parsed = ok ? parse_experiment(text, file)
-                           : result<experiment>(not_run(error_code::not_found,
-                                                        file + ": cannot be read"));
+    const auto parsed =
+        ok ? parse_experiment(text, file)
+           : result<experiment>(not_run(error_code::not_found, file + ": cannot be read"));
     if (parsed.has_error()) {
       std::cerr << parsed.error().detail << "\n";
       return exit_usage;
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -70,8 +70,8 @@
       "server", po::value<std::string>()->default_value(environment("MONSOONMUX_SERVER")),
       "daemons, A.B.C.D:PORT with commas; or MONSOONMUX_SERVER")(
       "key", po::value<std::string>()->default_value(environment("MONSOONMUX_KEY"), ""),
-      "key; better set MONSOONMUX_KEY")(
-      "output", po::value<std::string>()->default_value("table"), "table or json");
+      "key; better set MONSOONMUX_KEY")("output", po::value<std::string>()->default_value("table"),
+                                        "table or json");
   chosen.add_options(visible);
   po::options_description all;
   all.add(visible);
@@ -100,8 +100,7 @@
     std::cerr << "--output: expected table or json\n";
     return exit_usage;
   }
-  server_client servers(split(given["server"].as<std::string>()),
-                        given["key"].as<std::string>());
+  server_client servers(split(given["server"].as<std::string>()), given["key"].as<std::string>());
   return chosen.run({given, servers, output == "json"});
 }
 
@@ -125,4 +124,6 @@
 }  // namespace
 }  // namespace monsoonmux
 
-int main(int argc, char** argv) { return monsoonmux::run(argc, argv); }
+int main(int argc, char** argv) {
+  return monsoonmux::run(argc, argv);
+}
--- a/src/cli/output.cc
+++ b/src/cli/output.cc
@@ -35,7 +35,7 @@
   }
   std::cerr << a.body;
   return a.header("X-Monsoonmux-Verdict") == to_string(verdict::may_have_run) ? exit_may_have_run
-                                                                            : exit_refused;
+                                                                              : exit_refused;
 }
 
 nlohmann::ordered_json body_of(const result<client_answer>& answer, int& code) {
--- a/src/cli/server_client.cc
+++ b/src/cli/server_client.cc
@@ -10,10 +10,10 @@
   for (const std::string& server : this->servers) {
     client_request request;
     request.method = method;
-    request.url = "http://" + server + path;
+    request.url = std::string("http://").append(server).append(path);
     request.headers = headers;
     if (!this->key.empty()) {
-      request.headers.push_back({"Authorization", "Bearer " + this->key});
+      request.headers.push_back({"Authorization", std::string("Bearer ").append(this->key)});
     }
     request.body = body;
     request.timeout = timeout;
@@ -23,7 +23,7 @@
       return answer;
     }
     last = answer.error();
-    last.detail = server + ": " + last.detail;
+    last.detail.insert(0, server + ": ");
     if (last.effect != verdict::not_run) {
       break;
     }
--- a/src/cli/timeline_command.cc
+++ b/src/cli/timeline_command.cc
@@ -16,7 +16,9 @@
 namespace po = boost::program_options;
 using json = nlohmann::ordered_json;
 
-bool is_event(const json& line) { return line.is_object() && line.contains("event"); }
+bool is_event(const json& line) {
+  return line.is_object() && line.contains("event");
+}
 
 std::vector<json> read_files(const std::vector<std::string>& files) {
   std::vector<json> out;
@@ -161,6 +163,8 @@
 
 }  // namespace
 
-void add_timeline_command(command_list& to) { to.push_back(std::make_unique<timeline>()); }
+void add_timeline_command(command_list& to) {
+  to.push_back(std::make_unique<timeline>());
+}
 
 }  // namespace monsoonmux
--- a/src/cli/view_commands.cc
+++ b/src/cli/view_commands.cc
@@ -104,6 +104,8 @@
       {"domain", "phase", "epoch", "running", "waiting", "workers", "free"});
 }
 
-void add_call_command(command_list& to) { to.push_back(std::make_unique<call>()); }
+void add_call_command(command_list& to) {
+  to.push_back(std::make_unique<call>());
+}
 
 }  // namespace monsoonmux
--- a/src/config/document.h
+++ b/src/config/document.h
@@ -40,10 +40,10 @@
 struct queue_config {
   queue_kind kind = queue_kind::jobs;
   pool_id pool;
-  bool open = false;         // Anyone may use it, without a key.
-  std::set<team_id> teams;   // Teams that may use it; empty means all.
-  team_id open_team;         // Whom work without a key is charged to.
-  millis deadline{10'000};   // Default and upper bound for a call.
+  bool open = false;           // Anyone may use it, without a key.
+  std::set<team_id> teams;     // Teams that may use it; empty means all.
+  team_id open_team;           // Whom work without a key is charged to.
+  millis deadline{10'000};     // Default and upper bound for a call.
   std::int64_t waiting = 256;  // Calls that may wait per team and daemon.
 };
 
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -30,8 +30,8 @@
       return {};
     }
     if (!node.IsScalar() || node.Scalar().size() < shortest) {
-      this->problem(node, key, "expected a text of at least " + std::to_string(shortest) +
-                                   " characters");
+      this->problem(node, key,
+                    "expected a text of at least " + std::to_string(shortest) + " characters");
       return {};
     }
     return node.Scalar();
@@ -46,8 +46,9 @@
     std::int64_t value = 0;
     const bool parsed = node.IsScalar() && parse_integer(node.Scalar(), value);
     if (!parsed || value < low || value > high) {
-      this->problem(node, key, "expected an integer from " + std::to_string(low) + " to " +
-                                   std::to_string(high));
+      this->problem(
+          node, key,
+          "expected an integer from " + std::to_string(low) + " to " + std::to_string(high));
       return fallback;
     }
     return value;
@@ -128,8 +129,7 @@
   out.call_threads = static_cast<int>(in.integer("call_threads", 1, 512, out.call_threads));
   out.max_body_bytes = in.integer("max_body_bytes", 1'024, 64 << 20, out.max_body_bytes);
   out.max_connections = in.integer("max_connections", 8, 65'536, out.max_connections);
-  out.header_timeout.value =
-      in.integer("header_timeout_ms", 100, 60'000, out.header_timeout.value);
+  out.header_timeout.value = in.integer("header_timeout_ms", 100, 60'000, out.header_timeout.value);
   out.heartbeat.value = in.integer("heartbeat_ms", 50, 5'000, out.heartbeat.value);
   out.elector_lease.value = in.integer("elector_lease_ms", 500, 60'000, out.elector_lease.value);
   out.task_lease.value = in.integer("task_lease_ms", 1'000, 120'000, out.task_lease.value);
--- a/src/config/testing/document_test.cc
+++ b/src/config/testing/document_test.cc
@@ -1,6 +1,7 @@
+#include "config/document.h"
+
 #include <catch2/catch.hpp>
 
-#include "config/document.h"
 #include "config/key_ring.h"
 
 namespace monsoonmux {
@@ -20,7 +21,8 @@
   CHECK(refusal(R"({"keys":{"k":{"team":"a","hash":"zz"}}})").find("/keys/k/hash") == 0);
   CHECK(refusal(R"({"queues":{"q":{"kind":"x"}}})").find("/queues/q/kind") == 0);
   CHECK(refusal(R"({"domains":{"d":{"electors":["a","b"]}}})").find("/domains/d/electors") == 0);
-  CHECK(refusal(R"({"domains":{"d":{"electors":["a","b","a"]}}})").find("/domains/d/electors") == 0);
+  CHECK(refusal(R"({"domains":{"d":{"electors":["a","b","a"]}}})").find("/domains/d/electors") ==
+        0);
   CHECK(refusal(R"({"queues":{"q":{"kind":"jobs","pool":"p","teams":["t"]}}})")
             .find("no such team") != std::string::npos);
   CHECK(refusal("[1") != "accepted");
--- a/src/config/testing/settings_test.cc
+++ b/src/config/testing/settings_test.cc
@@ -1,7 +1,7 @@
-#include <catch2/catch.hpp>
-
 #include "config/settings.h"
 
+#include <catch2/catch.hpp>
+
 namespace monsoonmux {
 namespace {
 
@@ -16,7 +16,9 @@
     "peer_secret: 0123456789abcdef\n"
     "operator_key_hash: 0123456789012345678901234567890123456789012345678901234567890123\n";
 
-std::string with_line(const std::string& line) { return good + line + "\n"; }
+std::string with_line(const std::string& line) {
+  return good + line + "\n";
+}
 
 std::string replaced(const std::string& key, const std::string& value) {
   std::string text = good;
@@ -45,7 +47,8 @@
   };
   const std::vector<sample> samples = {
       {with_line("colour: red"), "f.yaml:10: colour: unknown key"},
-      {with_line("http_threads: many"), "f.yaml:10: http_threads: expected an integer from 1 to 64"},
+      {with_line("http_threads: many"),
+       "f.yaml:10: http_threads: expected an integer from 1 to 64"},
       {with_line("http_threads: 65"), "f.yaml:10: http_threads: expected an integer from 1 to 64"},
       {replaced("http", "localhost"), "f.yaml:3: http: expected A.B.C.D:PORT"},
       {replaced("peer", "127.0.0.1:0"), "f.yaml:4: peer: expected A.B.C.D:PORT"},
--- a/src/control/budget_desk.h
+++ b/src/control/budget_desk.h
@@ -41,8 +41,7 @@
   // Debits what can be spared and returns the record to append; nothing if it
   // is zero or a transfer on this route is under way. `busy` is what the domain
   // itself uses and wants.
-  std::optional<budget_transfer> give(const budget_wish& wish, const resources& busy,
-                                      epoch number);
+  std::optional<budget_transfer> give(const budget_wish& wish, const resources& busy, epoch number);
   // The record was read back, valid or not; the log's view counts again.
   void settled(const budget_transfer& transfer);
 
--- a/src/control/domain_placer.cc
+++ b/src/control/domain_placer.cc
@@ -17,7 +17,9 @@
 // After the longest lease, for the last commands of a predecessor to arrive.
 constexpr millis settle{500};
 
-task_run run_of(const task_id& id, const task_entry& task) { return {id, task.attempt}; }
+task_run run_of(const task_id& id, const task_entry& task) {
+  return {id, task.attempt};
+}
 
 }  // namespace
 
@@ -185,8 +187,8 @@
         }
         if (outcome.value() == record_outcome::applied) {
           self->fenced = true;
-          self->first_ever = self->right.number().value == 1 &&
-                             self->state.fence_count(self->domain) == 1;
+          self->first_ever =
+              self->right.number().value == 1 && self->state.fence_count(self->domain) == 1;
           self->desk.set_confirmed();
         } else {
           self->right.raise(self->state.fence_of(self->domain));
@@ -219,8 +221,7 @@
 void domain_placer::sync_workers(instant now) {
   auto self = this->shared_from_this();
   const std::int64_t era = this->era;
-  for (auto& asked :
-       this->links.due(now, this->right.number(), this->right.held_until(), true)) {
+  for (auto& asked : this->links.due(now, this->right.number(), this->right.held_until(), true)) {
     this->out.emplace_back([self, era, asked] {
       self->port.sync(asked.worker, asked.request,
                       [self, era, asked](const result<worker_report>& answer) {
@@ -260,9 +261,8 @@
     }
     link.announced = true;
     const worker_joined joined{id, this->domain};
-    this->out.emplace_back([self = this->shared_from_this(), joined] {
-      self->writer.append(joined, never, nullptr);
-    });
+    this->out.emplace_back(
+        [self = this->shared_from_this(), joined] { self->writer.append(joined, never, nullptr); });
   }
 }
 
@@ -403,8 +403,8 @@
   }
 }
 
-void domain_placer::take_running(const worker_id& worker, const task_report& report,
-                                 job_entry& job, task_entry& task, instant now) {
+void domain_placer::take_running(const worker_id& worker, const task_report& report, job_entry& job,
+                                 task_entry& task, instant now) {
   const task_id& id = report.task;
   if (!task.holds_worker() && task.stage != task_stage::ended &&
       (task.may_have_run || job.foreign || task.attempt <= report.attempt)) {
@@ -478,8 +478,8 @@
 }
 
 // The first success of any run counts, also of one that was given up for lost.
-void domain_placer::take_success(const worker_id& worker, const task_report& report,
-                                 job_entry& job, task_entry& task, instant now) {
+void domain_placer::take_success(const worker_id& worker, const task_report& report, job_entry& job,
+                                 task_entry& task, instant now) {
   const task_run run{report.task, report.attempt};
   this->health.on_end(worker, job.spec.id, true, now);
   if (job.spec.kind == work_kind::service && !job.cancelled) {
@@ -507,8 +507,8 @@
                     [&](const worker_id& w) { return !this->health.suspect(w); }));
 }
 
-void domain_placer::take_failure(const worker_id& worker, const task_report& report,
-                                 job_entry& job, task_entry& task, instant now) {
+void domain_placer::take_failure(const worker_id& worker, const task_report& report, job_entry& job,
+                                 task_entry& task, instant now) {
   if (this->health.on_end(worker, job.spec.id, false, now)) {
     this->emit("worker_aside", {{"worker", worker.text}});
   }
@@ -519,8 +519,7 @@
     const millis delay = std::min(this->options.restart_first * (std::int64_t{1} << doublings),
                                   this->options.restart_most);
     this->run_again(job, report.task, task, delay, now);
-  } else if (!job.spec.idempotent ||
-             this->counted_failures(task) >= job.spec.max_attempts) {
+  } else if (!job.spec.idempotent || this->counted_failures(task) >= job.spec.max_attempts) {
     this->end_task(job, report.task, task, task_phase::failed);
     this->break_gang(job, now);
   } else {
@@ -532,8 +531,8 @@
 // Tasks booked on the worker that its report does not list have ended there, or
 // never began, provided the report was asked for late enough to tell. Equal times
 // tell nothing: the clock counts whole milliseconds.
-void domain_placer::take_missing(const worker_id& worker, const worker_report& report,
-                                 instant sent, instant now) {
+void domain_placer::take_missing(const worker_id& worker, const worker_report& report, instant sent,
+                                 instant now) {
   const worker_index index = this->schedule->workers().find(worker);
   if (index == no_worker) {
     return;
@@ -552,8 +551,7 @@
     if (job == nullptr || task == nullptr || listed.count(run_of(id, *task)) != 0) {
       continue;
     }
-    const bool never_began =
-        task->stage == task_stage::starting && sent > task->start_deadline;
+    const bool never_began = task->stage == task_stage::starting && sent > task->start_deadline;
     const bool gone = task->stage != task_stage::starting && sent > task->confirmed_at;
     if (never_began || gone) {
       this->lose_run(*job, id, *task, now);
@@ -590,22 +588,25 @@
 // with its worker.
 void domain_placer::lose_run(job_entry& job, const task_id& id, task_entry& task, instant now) {
   const bool was_gang = job.spec.kind == work_kind::gang;
-  this->emit("run_over", {{"task", id.text()},
-                          {"worker", task.worker.text},
-                          {"reason", task.stage == task_stage::stopping
-                                         ? std::string(to_string(task.reason))
-                                         : "lost"}});
+  this->emit("run_over",
+             {{"task", id.text()},
+              {"worker", task.worker.text},
+              {"reason",
+               task.stage == task_stage::stopping ? std::string(to_string(task.reason)) : "lost"}});
+  const bool oversized =
+      task.stage == task_stage::stopping && task.reason == stop_reason::oversized;
+  if (oversized) {
+    task.failed_on.insert(task.worker);
+  }
+  const bool began = task.stage != task_stage::starting && !job.foreign;
+  const bool may_not_repeat = began && !job.spec.idempotent;
+  const bool tried_enough =
+      oversized && static_cast<int>(task.failed_on.size()) >= job.spec.max_attempts;
   if (job.cancelled) {
     this->end_task(job, id, task, task_phase::cancelled);
-  } else if (!job.spec.idempotent && task.stage != task_stage::starting && !job.foreign) {
-    this->end_task(job, id, task, task_phase::failed);
-  } else if (task.stage == task_stage::stopping && task.reason == stop_reason::oversized &&
-             static_cast<int>(task.failed_on.size()) + 1 >= job.spec.max_attempts) {
+  } else if (may_not_repeat || tried_enough) {
     this->end_task(job, id, task, task_phase::failed);
   } else {
-    if (task.stage == task_stage::stopping && task.reason == stop_reason::oversized) {
-      task.failed_on.insert(task.worker);
-    }
     this->run_again(job, id, task, {}, now);
   }
   if (was_gang) {
@@ -740,8 +741,8 @@
     if (this->schedule->workers().find(worker) == no_worker) {
       this->schedule->add_worker({worker, link.host.pool, link.host.rack, link.host.total});
     }
-    const bool usable = link.listed && !link.host.leaving && link.missed == 0 &&
-                        !this->health.aside(worker, now);
+    const bool usable =
+        link.listed && !link.host.leaving && link.missed == 0 && !this->health.aside(worker, now);
     this->schedule->set_usable(worker, usable);
     if (!link.host.leaving) {
       continue;
@@ -905,8 +906,8 @@
   this->emit("task_stop", {{"task", value.task.text()},
                            {"worker", value.worker.text},
                            {"reason", std::string(to_string(value.reason))}});
-  this->send_stop(value.worker, run_of(value.task, *task),
-                  value.reason != stop_reason::cancelled, now);
+  this->send_stop(value.worker, run_of(value.task, *task), value.reason != stop_reason::cancelled,
+                  now);
 }
 
 void domain_placer::send_stop(const worker_id& worker, const task_run& run, bool checkpoint,
@@ -914,8 +915,7 @@
   stop_request request;
   request.domain = this->domain;
   request.number = this->right.number();
-  request.not_after =
-      this->links.command_deadline(worker, now, this->right.held_until());
+  request.not_after = this->links.command_deadline(worker, now, this->right.held_until());
   request.run = run;
   request.checkpoint = checkpoint;
   this->out.emplace_back([self = this->shared_from_this(), worker, request] {
@@ -968,9 +968,8 @@
     this->schedule->cancel(id, stop_reason::cancelled);
     this->emit("job_unsatisfiable", {{"job", id.text}});
     const job_unsatisfiable told{id, "no worker of the domain is large enough for its tasks"};
-    this->out.emplace_back([self = this->shared_from_this(), told] {
-      self->writer.append(told, never, nullptr);
-    });
+    this->out.emplace_back(
+        [self = this->shared_from_this(), told] { self->writer.append(told, never, nullptr); });
     this->book.erase(id);
     this->attention.erase(id);
   }
--- a/src/control/health_book.cc
+++ b/src/control/health_book.cc
@@ -4,8 +4,7 @@
 
 namespace monsoonmux {
 
-bool health_book::on_end(const worker_id& worker, const job_id& job, bool succeeded,
-                         instant now) {
+bool health_book::on_end(const worker_id& worker, const job_id& job, bool succeeded, instant now) {
   if (succeeded) {
     this->workers.erase(worker);
     return false;
@@ -19,8 +18,8 @@
   }
   const bool fresh = now >= e.until;
   if (fresh) {
-    e.next_span = e.suspect ? std::min(e.next_span * 2, this->options.aside_most)
-                            : this->options.aside_first;
+    e.next_span =
+        e.suspect ? std::min(e.next_span * 2, this->options.aside_most) : this->options.aside_first;
     e.until = now + e.next_span;
   }
   e.suspect = true;
--- a/src/control/health_book.h
+++ b/src/control/health_book.h
@@ -9,8 +9,8 @@
 namespace monsoonmux {
 
 struct health_options {
-  int failures = 3;            // In a row, of at least two jobs: set aside.
-  millis aside_first{30'000};  // First time set aside; doubled each time,
+  int failures = 3;              // In a row, of at least two jobs: set aside.
+  millis aside_first{30'000};    // First time set aside; doubled each time,
   millis aside_most{3'600'000};  // up to this.
 };
 
--- a/src/control/task_book.cc
+++ b/src/control/task_book.cc
@@ -27,9 +27,8 @@
 }
 
 bool job_entry::all_ended() const {
-  return std::all_of(this->tasks.begin(), this->tasks.end(), [](const auto& item) {
-    return item.second.stage == task_stage::ended;
-  });
+  return std::all_of(this->tasks.begin(), this->tasks.end(),
+                     [](const auto& item) { return item.second.stage == task_stage::ended; });
 }
 
 job_entry& task_book::load(const job& value, const domain_id& domain, instant now) {
--- a/src/control/task_book.h
+++ b/src/control/task_book.h
@@ -25,11 +25,11 @@
 struct task_entry {
   task_stage stage = task_stage::waiting;
   std::int32_t attempt = 1;
-  worker_id worker;         // Where the present run was put.
-  instant ready;            // Not queued before.
-  instant start_deadline;   // The start takes effect by then, or never.
-  instant confirmed_at;     // When the worker confirmed the start.
-  instant next_stop;        // When to repeat the stop.
+  worker_id worker;        // Where the present run was put.
+  instant ready;           // Not queued before.
+  instant start_deadline;  // The start takes effect by then, or never.
+  instant confirmed_at;    // When the worker confirmed the start.
+  instant next_stop;       // When to repeat the stop.
   stop_reason reason = stop_reason::reclaimed;
   std::int64_t started_ms = 0;  // Unix time.
   std::int32_t quick_ends = 0;  // Ends of a service in a row, for its backoff.
@@ -72,8 +72,8 @@
   // gang gives one unit once none of its tasks holds a worker.
   std::vector<std::shared_ptr<const pending_unit>> take_ready(job_entry& job, instant now);
   // The unit of a task that already runs.
-  static std::shared_ptr<const pending_unit> running_unit(const job_entry& job,
-                                                          std::int32_t index, instant now);
+  static std::shared_ptr<const pending_unit> running_unit(const job_entry& job, std::int32_t index,
+                                                          instant now);
 
  private:
   std::unordered_map<job_id, job_entry> jobs;
--- a/src/control/testing/fake_cell.cc
+++ b/src/control/testing/fake_cell.cc
@@ -29,9 +29,8 @@
       this->fail<log_page>(done);
       return;
     }
-    this->log.read(from, [self, done](const result<log_page>& r) {
-      self->deliver([done, r] { done(r); });
-    });
+    this->log.read(
+        from, [self, done](const result<log_page>& r) { self->deliver([done, r] { done(r); }); });
   }
 
  private:
@@ -178,8 +177,8 @@
       }
     }
     auto placer = std::make_shared<domain_placer>(
-        domain, daemon_id(name), name + "#" + std::to_string(incarnation), world.time,
-        this->state, *this->writer, this->port, this->events, placer_options{});
+        domain, daemon_id(name), name + "#" + std::to_string(incarnation), world.time, this->state,
+        *this->writer, this->port, this->events, placer_options{});
     placer->set_hosts(hosts);
     placer->set_candidate(domain == home);
     this->placers[domain] = placer;
@@ -187,8 +186,8 @@
 }
 
 void event_log::emit(std::string_view kind, std::vector<event_field> fields) {
-  std::string line = std::to_string(this->world.time.now().value) + " " + this->daemon + " " +
-                     std::string(kind);
+  std::string line =
+      std::to_string(this->world.time.now().value) + " " + this->daemon + " " + std::string(kind);
   for (const event_field& f : fields) {
     line += " " + f.name + "=" + f.value;
   }
@@ -222,10 +221,11 @@
   }
 }
 
-void fake_daemon::pause(millis span) { this->paused_until = this->world.time.now() + span; }
+void fake_daemon::pause(millis span) {
+  this->paused_until = this->world.time.now() + span;
+}
 
-fake_cell::fake_cell(unsigned seed, const layout& shape)
-    : world(seed), log(world), shape(shape) {
+fake_cell::fake_cell(unsigned seed, const layout& shape) : world(seed), log(world), shape(shape) {
   for (int d = 0; d < shape.domains; ++d) {
     this->domains.push_back(this->domain(d));
     for (int w = 0; w < shape.workers_per_domain; ++w) {
@@ -252,9 +252,9 @@
   }
   std::string text = R"({"teams":{)";
   for (int t = 0; t < shape.teams; ++t) {
-    text += std::string(t > 0 ? "," : "") + "\"t" + std::to_string(t) +
-            R"(":{"limit":{"cpu":)" + std::to_string(shape.team_limit.cpu.value) +
-            R"(,"memory":)" + std::to_string(shape.team_limit.memory.value) + "}}";
+    text += std::string(t > 0 ? "," : "") + "\"t" + std::to_string(t) + R"(":{"limit":{"cpu":)" +
+            std::to_string(shape.team_limit.cpu.value) + R"(,"memory":)" +
+            std::to_string(shape.team_limit.memory.value) + "}}";
     history_event e;
     e.at_ms = this->world.time.now().value;
     e.kind = history_kind::limit_in_force;
@@ -266,8 +266,8 @@
   for (int d = 0; d < shape.domains; ++d) {
     text += std::string(d > 0 ? "," : "") + "\"" + this->domain(d).text + R"(":{"electors":[)";
     for (int w = 0; w < 3; ++w) {
-      text += std::string(w > 0 ? "," : "") + "\"w" + std::to_string(d) + "-" +
-              std::to_string(w) + "\"";
+      text += std::string(w > 0 ? "," : "") + "\"w" + std::to_string(d) + "-" + std::to_string(w) +
+              "\"";
     }
     text += "]}";
   }
@@ -322,19 +322,18 @@
   value.spec = spec;
   value.parts = parts;
   value.tasks.resize(static_cast<std::size_t>(spec.tasks));
-  this->live_daemon().writer->append(
-      job_record{value}, this->world.time.now() + millis{5'000},
-      [this, spec](const result<record_outcome>& r) {
-        if (r.has_error()) {
-          return;
-        }
-        history_event e;
-        e.at_ms = this->world.time.now().value;
-        e.kind = history_kind::job_accepted;
-        e.task = spec.id.text;
-        e.number = spec.tasks;
-        this->seen.push_back(e);
-      });
+  this->live_daemon().writer->append(job_record{value}, this->world.time.now() + millis{5'000},
+                                     [this, spec](const result<record_outcome>& r) {
+                                       if (r.has_error()) {
+                                         return;
+                                       }
+                                       history_event e;
+                                       e.at_ms = this->world.time.now().value;
+                                       e.kind = history_kind::job_accepted;
+                                       e.task = spec.id.text;
+                                       e.number = spec.tasks;
+                                       this->seen.push_back(e);
+                                     });
 }
 
 void fake_cell::cancel(const job_id& job) {
@@ -365,7 +364,9 @@
   }
 }
 
-void fake_cell::heal() { this->world.heal(); }
+void fake_cell::heal() {
+  this->world.heal();
+}
 
 int fake_cell::placers_of(const domain_id& domain) const {
   int n = 0;
--- a/src/control/testing/fake_worker.h
+++ b/src/control/testing/fake_worker.h
@@ -17,8 +17,12 @@
 class fake_worker {
  public:
   fake_worker(fake_world& world, history& seen, worker_host host)
-      : host(std::move(host)), world(world), seen(seen), boot(world.time.now() - millis{60'000}),
-        vote(this->boot), offset(world.pick(1'000'000)) {}
+      : host(std::move(host)),
+        world(world),
+        seen(seen),
+        boot(world.time.now() - millis{60'000}),
+        vote(this->boot),
+        offset(world.pick(1'000'000)) {}
 
   const worker_host host;
   bool up = true;
--- a/src/control/testing/placer_cell_test.cc
+++ b/src/control/testing/placer_cell_test.cc
@@ -23,7 +23,9 @@
   return spec;
 }
 
-std::vector<job_part> all_in(const domain_id& d, int tasks) { return {{d, 0, tasks}}; }
+std::vector<job_part> all_in(const domain_id& d, int tasks) {
+  return {{d, 0, tasks}};
+}
 
 std::string describe(const std::vector<violation>& found) {
   std::string out;
--- a/src/control/worker_links.h
+++ b/src/control/worker_links.h
@@ -11,10 +11,10 @@
 namespace monsoonmux {
 
 struct link_options {
-  millis task_lease{10'000};     // Given to tasks with each renewal.
-  millis command_bound{2'000};   // Commands take effect within this, or never.
+  millis task_lease{10'000};    // Given to tasks with each renewal.
+  millis command_bound{2'000};  // Commands take effect within this, or never.
   int syncs_per_lease = 4;
-  int misses = 2;                // Failed syncs before leases stop being renewed.
+  int misses = 2;  // Failed syncs before leases stop being renewed.
 };
 
 // What the placer knows of one worker between two reports.
--- a/src/daemon/access.h
+++ b/src/daemon/access.h
@@ -8,7 +8,7 @@
 // Who is behind a request, by its Authorization header.
 struct access {
   config_ptr config;
-  team_id team;       // Empty without a valid key.
+  team_id team;  // Empty without a valid key.
   bool operator_key = false;
   bool key_given = false;
 };
--- a/src/daemon/call_api.cc
+++ b/src/daemon/call_api.cc
@@ -14,7 +14,7 @@
 
 // Headers that concern one connection, or us, and do not go on to the runner.
 constexpr std::array<std::string_view, 8> own_headers = {
-    "authorization", "connection",       "host",      "content-length",
+    "authorization", "connection",        "host",      "content-length",
     "keep-alive",    "transfer-encoding", "x-call-id", "x-deadline-ms"};
 
 bool goes_on(const std::string& name) {
@@ -92,27 +92,27 @@
   call.idempotent = is_idempotent(request);
   call.deadline = this->core.time.now() + span.value();
   const auto began = std::chrono::steady_clock::now();
-  this->core.lane(call.pool)->submit(
-      std::move(call), queue->second.waiting,
-      [this, respond, began](const result<call_answer>& answer) {
-        const std::chrono::duration<double, std::milli> took =
-            std::chrono::steady_clock::now() - began;
-        this->core.numbers.observe_ms("call", took.count());
-        if (answer.has_error()) {
-          respond(refusal(answer.error()));
-          return;
-        }
-        const call_answer& a = answer.value();
-        http_response out;
-        out.status = a.answer.status;
-        out.content_type = a.answer.content_type.empty() ? "application/octet-stream"
-                                                         : a.answer.content_type;
-        out.headers = {{"X-Monsoonmux-Verdict", "answered"},
-                       {"X-Monsoonmux-Runner", a.runner.text},
-                       {"X-Monsoonmux-Tries", std::to_string(a.tries)}};
-        out.body = a.answer.body;
-        respond(out);
-      });
+  const auto lane = this->core.lane(call.pool);
+  lane->submit(std::move(call), queue->second.waiting,
+               [this, respond, began](const result<call_answer>& answer) {
+                 const std::chrono::duration<double, std::milli> took =
+                     std::chrono::steady_clock::now() - began;
+                 this->core.numbers.observe_ms("call", took.count());
+                 if (answer.has_error()) {
+                   respond(refusal(answer.error()));
+                   return;
+                 }
+                 const call_answer& a = answer.value();
+                 http_response out;
+                 out.status = a.answer.status;
+                 out.content_type = a.answer.content_type.empty() ? "application/octet-stream"
+                                                                  : a.answer.content_type;
+                 out.headers = {{"X-Monsoonmux-Verdict", "answered"},
+                                {"X-Monsoonmux-Runner", a.runner.text},
+                                {"X-Monsoonmux-Tries", std::to_string(a.tries)}};
+                 out.body = a.answer.body;
+                 respond(out);
+               });
 }
 
 }  // namespace monsoonmux
--- a/src/daemon/home_chooser.cc
+++ b/src/daemon/home_chooser.cc
@@ -12,8 +12,8 @@
   double n = 1e9;
   const auto bound = [&n](std::int64_t have, std::int64_t want) {
     if (want > 0) {
-      n = std::min(n, static_cast<double>(std::max<std::int64_t>(have, 0)) /
-                          static_cast<double>(want));
+      n = std::min(
+          n, static_cast<double>(std::max<std::int64_t>(have, 0)) / static_cast<double>(want));
     }
   };
   bound(room.cpu.value, each.cpu.value);
@@ -43,6 +43,7 @@
     }
   }
   std::vector<domain_room> out;
+  out.reserve(found.size());
   for (const auto& [domain, room] : found) {
     out.push_back(room);
   }
@@ -52,9 +53,8 @@
   };
   const auto wanted = static_cast<double>(spec.tasks);
   std::sort(out.begin(), out.end(), [&](const domain_room& a, const domain_room& b) {
-    return std::make_tuple(!a.placed, a.waiting > 0, -std::min(a.free, wanted), a.waiting,
-                           tie(a)) < std::make_tuple(!b.placed, b.waiting > 0,
-                                                     -std::min(b.free, wanted), b.waiting, tie(b));
+    return std::make_tuple(!a.placed, a.waiting > 0, -std::min(a.free, wanted), a.waiting, tie(a)) <
+           std::make_tuple(!b.placed, b.waiting > 0, -std::min(b.free, wanted), b.waiting, tie(b));
   });
   return out;
 }
--- a/src/daemon/home_chooser.h
+++ b/src/daemon/home_chooser.h
@@ -26,7 +26,7 @@
     std::int64_t slots = 0;  // Tasks that fit on its empty workers.
     double free = 0;         // Tasks that its free amounts would hold.
     std::int64_t waiting = 0;
-    bool placed = false;     // A live daemon places there.
+    bool placed = false;  // A live daemon places there.
   };
 
   std::vector<domain_room> rooms(const job_spec& spec) const;
--- a/src/daemon/job_api.cc
+++ b/src/daemon/job_api.cc
@@ -86,8 +86,8 @@
                               ? value.spec.per_task * value.spec.tasks
                               : value.spec.per_task;
   if (!least.fits(limit)) {
-    respond(refusal(not_run(error_code::unsatisfiable,
-                            "it needs more at once than the team's upper limit")));
+    respond(refusal(
+        not_run(error_code::unsatisfiable, "it needs more at once than the team's upper limit")));
     return;
   }
   const auto alive = this->core.members.alive(this->core.time.now());
@@ -115,8 +115,8 @@
         }
         const auto accepted = this->core.state.find_job(spec.id);
         if (!accepted || !same_work(accepted->spec, spec)) {
-          respond(refusal(not_run(error_code::conflict,
-                                  "the idempotency key belongs to a different job")));
+          respond(refusal(
+              not_run(error_code::conflict, "the idempotency key belongs to a different job")));
           return;
         }
         http_response answer = ok(job_json(*accepted));
@@ -124,8 +124,7 @@
         answer.status = fresh ? 201 : 200;
         if (fresh) {
           this->core.numbers.count("jobs_accepted");
-          this->core.events.emit("job_accepted",
-                                 {{"job", spec.id.text}, {"team", spec.team.text}});
+          this->core.events.emit("job_accepted", {{"job", spec.id.text}, {"team", spec.team.text}});
         }
         respond(answer);
       });
@@ -188,10 +187,10 @@
   const std::string given = request.parameter("timeout_ms");
   const char* last = given.data() + given.size();
   const auto parsed = std::from_chars(given.data(), last, timeout);
-  if (!given.empty() && (parsed.ec != std::errc{} || parsed.ptr != last || timeout < 0 ||
-                         timeout > max_wait_ms)) {
-    respond(refusal(not_run(error_code::bad_request,
-                            "timeout_ms: expected an integer from 0 to 600000")));
+  if (!given.empty() &&
+      (parsed.ec != std::errc{} || parsed.ptr != last || timeout < 0 || timeout > max_wait_ms)) {
+    respond(refusal(
+        not_run(error_code::bad_request, "timeout_ms: expected an integer from 0 to 600000")));
     return;
   }
   const std::lock_guard hold(this->lock);
--- a/src/daemon/job_parser.cc
+++ b/src/daemon/job_parser.cc
@@ -23,8 +23,8 @@
   std::string detail;
 };
 
-std::int64_t integer(const json& from, const std::string& name, std::int64_t low,
-                     std::int64_t high, std::int64_t fallback) {
+std::int64_t integer(const json& from, const std::string& name, std::int64_t low, std::int64_t high,
+                     std::int64_t fallback) {
   const auto it = from.find(name);
   if (it == from.end()) {
     return fallback;
--- a/src/daemon/json_log.cc
+++ b/src/daemon/json_log.cc
@@ -20,8 +20,7 @@
 class json_sink final : public google::LogSink {
  public:
   void send(google::LogSeverity severity, const char*, const char* file, int line,
-            const google::LogMessageTime& time, const char* message,
-            std::size_t length) override {
+            const google::LogMessageTime& time, const char* message, std::size_t length) override {
     nlohmann::ordered_json out;
     out["wall_ms"] = static_cast<std::int64_t>(time.timestamp()) * 1'000 + time.usec() / 1'000;
     out["severity"] = google::GetLogSeverityName(severity);
@@ -43,6 +42,8 @@
   google::AddLogSink(&sink);
 }
 
-void log_event(const std::string& json_object) { write_line(json_object); }
+void log_event(const std::string& json_object) {
+  write_line(json_object);
+}
 
 }  // namespace monsoonmux
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,10 +1,10 @@
 // monsoonmuxd: the daemon on an entry host.
 
+#include <glog/logging.h>
+
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <boost/program_options.hpp>
-#include <glog/logging.h>
-
 #include <iostream>
 
 #include "daemon/front.h"
@@ -40,8 +40,8 @@
 
 int run(int argc, char** argv) {
   po::options_description options("monsoonmuxd, the daemon of the monsoonmux cluster scheduler");
-  options.add_options()("help", "print this text and exit")(
-      "config", po::value<std::string>(), "the settings file (YAML)")(
+  options.add_options()("help", "print this text and exit")("config", po::value<std::string>(),
+                                                            "the settings file (YAML)")(
       "check-config", "check the settings file and exit: 0 if it is good, 2 if not");
   po::variables_map given;
   try {
@@ -73,4 +73,6 @@
 }  // namespace
 }  // namespace monsoonmux
 
-int main(int argc, char** argv) { return monsoonmux::run(argc, argv); }
+int main(int argc, char** argv) {
+  return monsoonmux::run(argc, argv);
+}
--- a/src/daemon/metrics.h
+++ b/src/daemon/metrics.h
@@ -19,10 +19,10 @@
 
  private:
   using summary = boost::accumulators::accumulator_set<
-      double, boost::accumulators::stats<boost::accumulators::tag::count,
-                                         boost::accumulators::tag::sum,
-                                         boost::accumulators::tag::max,
-                                         boost::accumulators::tag::extended_p_square_quantile>>;
+      double,
+      boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
+                                 boost::accumulators::tag::max,
+                                 boost::accumulators::tag::extended_p_square_quantile>>;
 
   mutable std::mutex lock;
   std::map<std::string, std::int64_t> counters;
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -227,8 +227,7 @@
     return;
   }
   const instant before = now - refresh_age;
-  if (this->core.state.config()->version.value > 0 &&
-      this->core.state.config_written() < before) {
+  if (this->core.state.config()->version.value > 0 && this->core.state.config_written() < before) {
     this->core.writer.append(this->core.state.make_refresh(), never, nullptr);
     for (const budget_transfer& t : this->core.state.budget_records()) {
       this->core.writer.append(t, never, nullptr);
--- a/src/daemon/node_core.cc
+++ b/src/daemon/node_core.cc
@@ -68,11 +68,10 @@
   const std::lock_guard hold(this->lock);
   auto& placer = this->placer_map[domain];
   if (!placer) {
-    const std::string holder =
-        this->config.daemon.text + "#" + std::to_string(this->incarnation);
+    const std::string holder = this->config.daemon.text + "#" + std::to_string(this->incarnation);
     placer = std::make_shared<domain_placer>(domain, this->config.daemon, holder, this->time,
-                                             this->state, this->writer, this->workers,
-                                             this->events, placer_options_of(this->config));
+                                             this->state, this->writer, this->workers, this->events,
+                                             placer_options_of(this->config));
   }
   return placer;
 }
--- a/src/daemon/operator_api.cc
+++ b/src/daemon/operator_api.cc
@@ -15,7 +15,7 @@
 constexpr std::size_t max_author_bytes = 64;
 
 constexpr std::array<std::string_view, 8> paths = {
-    "/v1/config",  "/v1/config/history", "/v1/workers", "/v1/runners",
+    "/v1/config",  "/v1/config/history", "/v1/workers",  "/v1/runners",
     "/v1/members", "/v1/placers",        "/v1/timeline", "/v1/jobs-all"};
 
 json config_json(const config_view& view) {
@@ -149,10 +149,9 @@
     respond(refusal(not_run(error_code::bad_request, "the patch does not fit its base version")));
     return;
   }
-  http_response out = refusal(
-      not_run(error_code::conflict, "the patch was made against version " +
-                                        std::to_string(base.value) + ", the current one is " +
-                                        std::to_string(now->version.value)));
+  http_response out = refusal(not_run(
+      error_code::conflict, "the patch was made against version " + std::to_string(base.value) +
+                                ", the current one is " + std::to_string(now->version.value)));
   out.headers.push_back({"ETag", std::to_string(now->version.value)});
   respond(out);
 }
--- a/src/daemon/peer_log.cc
+++ b/src/daemon/peer_log.cc
@@ -45,8 +45,8 @@
   });
 }
 
-log_pulled peer_log::serve(const log_pull& pull, const log_follower& follower,
-                           const replica& state, std::int64_t snapshot_number) {
+log_pulled peer_log::serve(const log_pull& pull, const log_follower& follower, const replica& state,
+                           std::int64_t snapshot_number) {
   log_pulled out;
   const log_offset next = follower.next();
   out.first_kept = pull.from;
--- a/src/daemon/slot_grantor.cc
+++ b/src/daemon/slot_grantor.cc
@@ -52,8 +52,7 @@
   return out;
 }
 
-void slot_grantor::grant_domain(const placer_status& status, instant now,
-                                const send_grant& send) {
+void slot_grantor::grant_domain(const placer_status& status, instant now, const send_grant& send) {
   domain_state& d = this->domains[status.domain];
   if (!d.ledger || d.number != status.number) {
     // The first placer that a domain ever has knows that there are no grants.
@@ -63,16 +62,16 @@
       return;  // The fence will tell; waiting costs less than guessing.
     }
     d.number = status.number;
-    d.ledger = std::make_unique<slot_ledger>(slot_options{}, status.number,
-                                             this->longest_call(), now, first_ever);
+    d.ledger = std::make_unique<slot_ledger>(slot_options{}, status.number, this->longest_call(),
+                                             now, first_ever);
   }
   std::vector<member> receivers;
   std::vector<slot_taker> takers;
   for (const member& m : this->core.members.alive(now)) {
     if (m.last.domain == status.domain && !m.last.draining) {
       receivers.push_back(m);
-      takers.push_back({m.id, m.incarnation, m.last.now, m.last.grant_placer, m.last.grant_seen,
-                        m.last.held});
+      takers.push_back(
+          {m.id, m.incarnation, m.last.now, m.last.grant_placer, m.last.grant_seen, m.last.held});
     }
   }
   if (takers.empty()) {
--- a/src/history/checker.cc
+++ b/src/history/checker.cc
@@ -329,9 +329,9 @@
 };
 
 constexpr std::array<std::string_view, 13> names = {
-    "no_overcommit",   "one_place",      "upper_limit",      "withdrawn_key",   "own_answer",
-    "not_run_is_true", "at_most_once",   "leaving_runner",   "no_request_cut",  "config_monotonic",
-    "config_in_force", "nothing_lost",   "finished_once"};
+    "no_overcommit",   "one_place",    "upper_limit",    "withdrawn_key",  "own_answer",
+    "not_run_is_true", "at_most_once", "leaving_runner", "no_request_cut", "config_monotonic",
+    "config_in_force", "nothing_lost", "finished_once"};
 
 std::vector<std::unique_ptr<rule>> make_rules(const checker_options& o,
                                               std::vector<violation>& found) {
@@ -354,7 +354,9 @@
 
 }  // namespace
 
-std::string_view to_string(promise value) { return names.at(static_cast<std::size_t>(value)); }
+std::string_view to_string(promise value) {
+  return names.at(static_cast<std::size_t>(value));
+}
 
 std::vector<violation> check_history(const history& events, const checker_options& options) {
   std::vector<violation> found;
--- a/src/history/history_event.cc
+++ b/src/history/history_event.cc
@@ -55,7 +55,9 @@
 
 }  // namespace
 
-std::string_view to_string(history_kind kind) { return names.at(static_cast<std::size_t>(kind)); }
+std::string_view to_string(history_kind kind) {
+  return names.at(static_cast<std::size_t>(kind));
+}
 
 std::string write_history(const history& events) {
   std::string out;
@@ -73,8 +75,8 @@
     try {
       out.push_back(from_json(json::parse(line)));
     } catch (const std::exception& error) {
-      return not_run(error_code::bad_request, "line " + std::to_string(number) + ": " +
-                                                  error.what());
+      return not_run(error_code::bad_request,
+                     "line " + std::to_string(number) + ": " + error.what());
     }
   }
   return out;
--- a/src/history/testing/checker_test.cc
+++ b/src/history/testing/checker_test.cc
@@ -1,10 +1,10 @@
 // For each promise: a history that keeps it, and a mutation that the checker has
 // to flag with exactly that promise.
 
-#include <catch2/catch.hpp>
-
 #include "history/checker.h"
 
+#include <catch2/catch.hpp>
+
 namespace monsoonmux {
 namespace {
 
@@ -123,10 +123,10 @@
   used.flag = true;
   must_flag(promise::withdrawn_key, {withdrawn, used});
   must_flag(promise::own_answer, {call(50, kind::call_answered, "c2", "answered", "c1")});
-  must_flag(promise::not_run_is_true, {call(50, kind::call_ran, "c2"),
-                                       call(51, kind::call_answered, "c2", "not_run")});
-  must_flag(promise::at_most_once, {call(50, kind::call_sent, "c2"),
-                                    call(51, kind::call_ran, "c2"), call(52, kind::call_ran, "c2")});
+  must_flag(promise::not_run_is_true,
+            {call(50, kind::call_ran, "c2"), call(51, kind::call_answered, "c2", "not_run")});
+  must_flag(promise::at_most_once, {call(50, kind::call_sent, "c2"), call(51, kind::call_ran, "c2"),
+                                    call(52, kind::call_ran, "c2")});
   must_flag(promise::leaving_runner,
             {call(50, kind::runner_left, ""), call(3'051, kind::call_ran, "c2")});
   must_flag(promise::no_request_cut,
--- a/src/http/client_pool.cc
+++ b/src/http/client_pool.cc
@@ -21,7 +21,9 @@
   }
 }
 
-client_pool::~client_pool() { this->stop(); }
+client_pool::~client_pool() {
+  this->stop();
+}
 
 void client_pool::stop() {
   std::deque<job> left;
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -80,7 +80,9 @@
   std::call_once(global_init, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
 }
 
-http_client::~http_client() { this->close(); }
+http_client::~http_client() {
+  this->close();
+}
 
 void http_client::close() {
   if (this->self->handle != nullptr) {
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -12,9 +12,10 @@
 constexpr std::size_t max_header_bytes = 8 * 1024;
 constexpr std::size_t max_headers = 64;
 
-struct server_traits : restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t,
-                                          std::function<restinio::request_handling_status_t(
-                                              restinio::request_handle_t)>> {
+struct server_traits
+    : restinio::traits_t<
+          restinio::asio_timer_manager_t, restinio::null_logger_t,
+          std::function<restinio::request_handling_status_t(restinio::request_handle_t)>> {
   static constexpr bool use_connection_count_limiter = true;
 };
 
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -14,8 +14,8 @@
   int threads = 2;
   std::size_t max_body_bytes = 1 << 20;
   std::size_t max_connections = 2'048;
-  millis read_timeout{5'000};       // For one whole request to arrive.
-  millis handle_timeout{660'000};   // For the handler to answer.
+  millis read_timeout{5'000};      // For one whole request to arrive.
+  millis handle_timeout{660'000};  // For the handler to answer.
 };
 
 // An HTTP/1.1 server on threads of its own. Requests over a size limit, or that
--- a/src/http/testing/http_test.cc
+++ b/src/http/testing/http_test.cc
@@ -67,8 +67,9 @@
   const http_server server(options(), echo);
   client_pool pool(2, 8);
   std::promise<verdict> unsent;
-  pool.send({"GET", base + "/"}, [] { return false; },
-            [&](const result<client_answer>& a) { unsent.set_value(a.error().effect); });
+  pool.send(
+      {"GET", base + "/"}, [] { return false; },
+      [&](const result<client_answer>& a) { unsent.set_value(a.error().effect); });
   CHECK(unsent.get_future().get() == verdict::not_run);
   std::promise<int> sent;
   pool.send({"GET", base + "/"}, nullptr,
--- a/src/journal/entry_cache.cc
+++ b/src/journal/entry_cache.cc
@@ -25,8 +25,8 @@
   out.end = {this->entries.back().offset.value + 1};
   std::size_t bytes = 0;
   const auto skip = from.value - this->entries.front().offset.value;
-  for (auto i = static_cast<std::size_t>(skip);
-       i < this->entries.size() && bytes < max_page_bytes; ++i) {
+  for (auto i = static_cast<std::size_t>(skip); i < this->entries.size() && bytes < max_page_bytes;
+       ++i) {
     out.entries.push_back(this->entries[i]);
     bytes += this->entries[i].bytes.size();
   }
--- a/src/journal/log_follower.cc
+++ b/src/journal/log_follower.cc
@@ -73,8 +73,8 @@
   const bool more = page.has_value() && !page.value().entries.empty();
   this->hinted = page.has_value() && !more ? this->cursor : this->hinted;
   const instant now = this->time.now();
-  this->next_read = more ? now : now + (page.has_error() ? this->options.retry
-                                                         : this->options.poll);
+  this->next_read =
+      more ? now : now + (page.has_error() ? this->options.retry : this->options.poll);
   if (page.has_error()) {
     this->hinted = this->cursor;
   }
@@ -83,8 +83,8 @@
 void log_follower::apply_page(bool platform, instant sent, const log_page& page) {
   log_offset at = this->next();
   if (platform && page.end < at) {
-    this->events.emit("log_shorter", {{"had", std::to_string(at.value)},
-                                      {"end", std::to_string(page.end.value)}});
+    this->events.emit("log_shorter",
+                      {{"had", std::to_string(at.value)}, {"end", std::to_string(page.end.value)}});
     this->recent.clear();
     at = page.end;
   }
--- a/src/journal/log_follower.h
+++ b/src/journal/log_follower.h
@@ -11,8 +11,8 @@
 namespace monsoonmux {
 
 struct follower_options {
-  millis poll{1'000};        // Between reads when nobody hints at news.
-  millis retry{500};         // After a failed read.
+  millis poll{1'000};          // Between reads when nobody hints at news.
+  millis retry{500};           // After a failed read.
   millis read_timeout{5'000};  // A read without an answer is given up.
 };
 
@@ -52,8 +52,8 @@
   const follower_options options;
   entry_cache recent;
 
-  mutable std::mutex lock;   // Guards the members below.
-  std::mutex apply_lock;     // Entries are applied by one thread at a time.
+  mutable std::mutex lock;  // Guards the members below.
+  std::mutex apply_lock;    // Entries are applied by one thread at a time.
   log_offset cursor;
   log_offset hinted;
   instant confirmed;
--- a/src/journal/log_writer.cc
+++ b/src/journal/log_writer.cc
@@ -10,13 +10,9 @@
 
 namespace monsoonmux {
 
-log_writer::log_writer(daemon_id writer, std::int64_t incarnation, log_service& log,
-                       replica& state, const clock& time, writer_options options)
-    : writer(std::move(writer)),
-      incarnation(incarnation),
-      log(log),
-      time(time),
-      options(options) {
+log_writer::log_writer(daemon_id writer, std::int64_t incarnation, log_service& log, replica& state,
+                       const clock& time, writer_options options)
+    : writer(std::move(writer)), incarnation(incarnation), log(log), time(time), options(options) {
   state.watch(this->writer, incarnation,
               [this](std::int64_t sequence, std::size_t place, record_outcome outcome) {
                 this->seen(sequence, place, outcome);
--- a/src/journal/log_writer.h
+++ b/src/journal/log_writer.h
@@ -12,12 +12,12 @@
 namespace monsoonmux {
 
 struct writer_options {
-  std::size_t max_batch = 256;         // Records per append.
-  std::size_t max_waiting = 20'000;    // Records not yet sent; more are refused.
-  millis min_gap{50};                  // Between two appends of this daemon.
-  millis retry_first{100};             // Delay before an append is repeated,
-  millis retry_most{2'000};            // doubled up to this.
-  millis reread_after{3'000};          // An append not seen by then is repeated.
+  std::size_t max_batch = 256;       // Records per append.
+  std::size_t max_waiting = 20'000;  // Records not yet sent; more are refused.
+  millis min_gap{50};                // Between two appends of this daemon.
+  millis retry_first{100};           // Delay before an append is repeated,
+  millis retry_most{2'000};          // doubled up to this.
+  millis reread_after{3'000};        // An append not seen by then is repeated.
 };
 
 // Appends this daemon's records to the platform's log, in groups.
--- a/src/journal/testing/fake_log.h
+++ b/src/journal/testing/fake_log.h
@@ -12,15 +12,13 @@
 // Replies wait until deliver(), so that tests choose the order.
 class fake_log final : public log_service {
  public:
-  bool down = false;           // Appends and reads fail without effect.
-  bool lose_answers = false;   // Appends take effect, then fail.
+  bool down = false;            // Appends and reads fail without effect.
+  bool lose_answers = false;    // Appends take effect, then fail.
   std::int64_t first_kept = 0;  // Older entries have expired.
 
   void append(std::string bytes, reply<log_offset> done) override {
     if (this->down) {
-      this->replies.emplace_back([done] {
-        done(may_have_run(error_code::unavailable, "down"));
-      });
+      this->replies.emplace_back([done] { done(may_have_run(error_code::unavailable, "down")); });
       return;
     }
     this->entries.push_back(std::move(bytes));
--- a/src/load/experiment.cc
+++ b/src/load/experiment.cc
@@ -39,8 +39,8 @@
   }
   T out{};
   if (!YAML::convert<T>::decode(value, out) || out < low || out > high) {
-    refuse(value, key + ": expected a number from " + std::to_string(low) + " to " +
-                      std::to_string(high));
+    refuse(value,
+           key + ": expected a number from " + std::to_string(low) + " to " + std::to_string(high));
   }
   return out;
 }
@@ -109,8 +109,8 @@
   } catch (const invalid& error) {
     return not_run(error_code::bad_request, name + ":" + error.detail);
   } catch (const YAML::Exception& error) {
-    return not_run(error_code::bad_request, name + ":" + std::to_string(error.mark.line + 1) +
-                                                ": " + error.msg);
+    return not_run(error_code::bad_request,
+                   name + ":" + std::to_string(error.mark.line + 1) + ": " + error.msg);
   }
 }
 
--- a/src/load/experiment.h
+++ b/src/load/experiment.h
@@ -14,7 +14,7 @@
 // One stream of calls of one team.
 struct call_stream {
   std::string name;
-  std::string key;     // The team's key; empty for an open queue.
+  std::string key;  // The team's key; empty for an open queue.
   std::string queue;
   double per_second = 1;
   arrivals arrival = arrivals::poisson;
--- a/src/load/load_plan.cc
+++ b/src/load/load_plan.cc
@@ -37,8 +37,7 @@
     const double gap = 1'000 / s.per_second;
     double at = 0;
     for (;;) {
-      at += s.arrival == arrivals::uniform ? gap
-                                           : std::exponential_distribution<>(1 / gap)(random);
+      at += s.arrival == arrivals::uniform ? gap : std::exponential_distribution<>(1 / gap)(random);
       if (at >= static_cast<double>(e.duration.value)) {
         break;
       }
--- a/src/load/load_report.h
+++ b/src/load/load_report.h
@@ -19,8 +19,8 @@
   double p95_ms = 0;
   double p99_ms = 0;
   double max_ms = 0;
-  double per_second = 0;       // Answered.
-  std::vector<double> curve;   // Latencies at 0, 1, .. 100 percent.
+  double per_second = 0;      // Answered.
+  std::vector<double> curve;  // Latencies at 0, 1, .. 100 percent.
 };
 
 struct load_report {
--- a/src/load/load_runner.cc
+++ b/src/load/load_runner.cc
@@ -22,7 +22,9 @@
   return std::chrono::duration<double, std::milli>(steady::now() - start).count();
 }
 
-bool is_loopback(const std::string& address) { return address.rfind("127.", 0) == 0; }
+bool is_loopback(const std::string& address) {
+  return address.rfind("127.", 0) == 0;
+}
 
 verdict verdict_of(const result<client_answer>& answer, bool direct) {
   if (answer.has_error()) {
@@ -35,8 +37,8 @@
   return text == to_string(verdict::not_run) ? verdict::not_run : verdict::may_have_run;
 }
 
-client_request request_of(const call_stream& s, const planned_call& call,
-                          const std::string& server, const std::string& id) {
+client_request request_of(const call_stream& s, const planned_call& call, const std::string& server,
+                          const std::string& id) {
   client_request out;
   out.method = s.method;
   out.url = "http://" + (s.direct.empty() ? server + "/v1/queues/" + s.queue + "/calls/load"
@@ -107,6 +109,7 @@
   std::atomic<std::size_t> next{0};
   std::vector<history> parts(static_cast<std::size_t>(this->plan.threads));
   std::vector<std::thread> threads;
+  threads.reserve(parts.size());
   const auto start = steady::now();
   for (history& part : parts) {
     threads.emplace_back([&] {
@@ -116,9 +119,9 @@
         const std::string& direct = this->plan.streams[call.stream].direct;
         const std::string server =
             direct.empty() ? this->plan.servers[i % this->plan.servers.size()] : direct;
-        std::this_thread::sleep_until(
-            start + std::chrono::duration_cast<steady::duration>(
-                        std::chrono::duration<double, std::milli>(call.at_ms)));
+        std::this_thread::sleep_until(start +
+                                      std::chrono::duration_cast<steady::duration>(
+                                          std::chrono::duration<double, std::milli>(call.at_ms)));
         outcomes[i] = this->send(i, call, clients[server], server, part);
         outcomes[i].latency_ms = ms_since(start) - call.at_ms;
       }
--- a/src/member/candidacy.cc
+++ b/src/member/candidacy.cc
@@ -29,8 +29,7 @@
   return before;
 }
 
-bool candidacy::should_try(const domain_id& domain, const std::vector<member>& alive,
-                           instant now) {
+bool candidacy::should_try(const domain_id& domain, const std::vector<member>& alive, instant now) {
   for (const member& m : alive) {
     const auto places = [&](const placing_info& p) { return p.domain == domain; };
     const auto& placing = m.last.placing;
--- a/src/member/testing/member_test.cc
+++ b/src/member/testing/member_test.cc
@@ -36,9 +36,9 @@
   candidacy c(daemon_id("c"), domain_id("y"), {});
   const auto tries = [&](std::int64_t t) {
     const auto alive = table.alive({t});
-    return std::make_tuple(a.should_try(domain_id("x"), alive, {t}) +
-                               b.should_try(domain_id("x"), alive, {t}),
-                           c.should_try(domain_id("x"), alive, {t}));
+    return std::make_tuple(
+        a.should_try(domain_id("x"), alive, {t}) + b.should_try(domain_id("x"), alive, {t}),
+        c.should_try(domain_id("x"), alive, {t}));
   };
   CHECK(tries(0) == std::make_tuple(1, false));
   CHECK(tries(1'500) == std::make_tuple(2, false));
--- a/src/place/drain_planner.h
+++ b/src/place/drain_planner.h
@@ -23,8 +23,7 @@
   drain_planner(const worker_table& workers, const running_set& running)
       : workers(workers), running(running) {}
 
-  std::optional<drain_choice> find(const pending_unit& unit, std::int32_t pool,
-                                   instant now) const;
+  std::optional<drain_choice> find(const pending_unit& unit, std::int32_t pool, instant now) const;
 
   // True if the unit would fit if nothing at all were running.
   bool fits_empty(const pending_unit& unit, std::int32_t pool) const;
--- a/src/place/pending_unit.h
+++ b/src/place/pending_unit.h
@@ -19,9 +19,9 @@
   resources per_task;
   millis declared_runtime;
   std::vector<std::int32_t> tasks;
-  instant since;                 // When it began to wait.
-  std::set<worker_id> avoid;     // Workers on which it has failed.
-  bool preemptible = true;       // May be stopped and run again.
+  instant since;              // When it began to wait.
+  std::set<worker_id> avoid;  // Workers on which it has failed.
+  bool preemptible = true;    // May be stopped and run again.
 
   resources demand() const {
     return this->per_task * static_cast<std::int64_t>(this->tasks.size());
--- a/src/place/plan.h
+++ b/src/place/plan.h
@@ -9,13 +9,13 @@
 namespace monsoonmux {
 
 enum class stop_reason {
-  reclaimed,   // Lent capacity goes back to a team below its share.
-  over_limit,  // The team's upper limit was lowered.
-  cancelled,   // The job was cancelled.
-  gang_broken, // Another task of the gang ended without success.
-  oversized,   // It uses more than its worker can give.
-  leaving,     // Its worker leaves the fleet.
-  superseded,  // Not the placement that the scheduler knows.
+  reclaimed,    // Lent capacity goes back to a team below its share.
+  over_limit,   // The team's upper limit was lowered.
+  cancelled,    // The job was cancelled.
+  gang_broken,  // Another task of the gang ended without success.
+  oversized,    // It uses more than its worker can give.
+  leaving,      // Its worker leaves the fleet.
+  superseded,   // Not the placement that the scheduler knows.
 };
 
 // "reclaimed", "over_limit" and so on, as on the time line.
--- a/src/place/scheduler.cc
+++ b/src/place/scheduler.cc
@@ -59,10 +59,12 @@
   account.allowance = allowance;
 }
 
-void scheduler::submit(unit_ptr unit) { this->book.at(unit->team).waiting.push(std::move(unit)); }
+void scheduler::submit(const unit_ptr& unit) {
+  this->book.at(unit->team).waiting.push(unit);
+}
 
-void scheduler::resubmit(unit_ptr unit) {
-  this->book.at(unit->team).waiting.push_front(std::move(unit));
+void scheduler::resubmit(const unit_ptr& unit) {
+  this->book.at(unit->team).waiting.push_front(unit);
 }
 
 void scheduler::withdraw(const job_id& job) {
@@ -121,8 +123,8 @@
                             std::max(known->reserved.accelerators, observed.accelerators)};
   const resources more = target - known->reserved;
   team_account& account = this->book.at(known->unit->team);
-  const bool room = more.fits(this->table[known->worker].free) &&
-                    (account.used + more).fits(account.allowance);
+  const bool room =
+      more.fits(this->table[known->worker].free) && (account.used + more).fits(account.allowance);
   if (!room) {
     return more.zero();
   }
@@ -162,12 +164,13 @@
 
 std::vector<scheduler::candidate> scheduler::candidates() const {
   std::vector<candidate> out;
-  for (const auto& [team, account] : this->book.all()) {
+  for (const auto& item : this->book.all()) {
+    const team_account& account = item.second;
     if (account.waiting.empty()) {
       continue;
     }
     candidate c;
-    c.team = team;
+    c.team = item.first;
     c.account = const_cast<team_account*>(&account);
     for (const auto& [shape, line] : account.waiting.by_shape()) {
       c.shapes.push_back(shape);
@@ -198,8 +201,8 @@
     this->rank(c);
   }
   while (out.starts.size() < this->options.max_starts && !teams.empty()) {
-    const auto next = std::min_element(
-        teams.begin(), teams.end(), [](const candidate& a, const candidate& b) {
+    const auto next =
+        std::min_element(teams.begin(), teams.end(), [](const candidate& a, const candidate& b) {
           return std::make_tuple(!a.urgent, a.order) < std::make_tuple(!b.urgent, b.order);
         });
     if (this->start_one(*next, now, out)) {
@@ -245,8 +248,8 @@
     const bool backfilled = !unit->per_task.fits(row.free - row.claimed);
     this->table.reserve(worker, unit->per_task);
     const task_id id{unit->job, unit->tasks[i]};
-    this->tasks.insert({id, unit, worker, unit->per_task, now, now, false,
-                        backfilled && end <= row.drain_until});
+    this->tasks.insert(
+        {id, unit, worker, unit->per_task, now, now, false, backfilled && end <= row.drain_until});
     start.tasks.push_back({id, row.info.id});
   }
   account.used += unit->demand();
@@ -397,7 +400,9 @@
 
 // The newest tasks go first: they lose the least work.
 void scheduler::stop_over_limit(plan& out) {
-  for (auto& [team, account] : this->book.all()) {
+  for (const auto& item : this->book.all()) {
+    const team_id& team = item.first;
+    const team_account& account = item.second;
     if (account.used.fits(account.allowance)) {
       continue;
     }
--- a/src/place/scheduler.h
+++ b/src/place/scheduler.h
@@ -15,11 +15,11 @@
 
 // Limits and patience of the scheduler.
 struct scheduler_options {
-  std::size_t max_starts = 256;     // Units started per round; bounds its time.
-  std::size_t max_claims = 32;      // Blocked units that hold claims at once.
-  millis reclaim_patience{5'000};   // Wait of normal work before lent work stops.
-  millis drain_patience{10'000};    // Wait before a unit that fits nowhere claims.
-  millis claim_lifetime{60'000};    // After a claim is ready.
+  std::size_t max_starts = 256;    // Units started per round; bounds its time.
+  std::size_t max_claims = 32;     // Blocked units that hold claims at once.
+  millis reclaim_patience{5'000};  // Wait of normal work before lent work stops.
+  millis drain_patience{10'000};   // Wait before a unit that fits nowhere claims.
+  millis claim_lifetime{60'000};   // After a claim is ready.
 };
 
 // Decides what starts where and what stops, for one failure domain.
@@ -50,17 +50,17 @@
   // Sets the share and the allowance. A team without terms starts nothing.
   void set_team(const team_id& team, std::int64_t share, const resources& allowance);
 
-  void submit(std::shared_ptr<const pending_unit> unit);
+  void submit(const std::shared_ptr<const pending_unit>& unit);
   // Puts a unit that lost its place back before others of its shape.
-  void resubmit(std::shared_ptr<const pending_unit> unit);
+  void resubmit(const std::shared_ptr<const pending_unit>& unit);
   // Removes the job's waiting units.
   void withdraw(const job_id& job);
   // The same, and returns its tasks that hold resources.
   std::vector<task_stop> cancel(const job_id& job, stop_reason reason);
 
   // Books a task that already runs, found after a takeover.
-  void adopt(const task_id& task, std::shared_ptr<const pending_unit> unit,
-             const worker_id& worker, instant started);
+  void adopt(const task_id& task, std::shared_ptr<const pending_unit> unit, const worker_id& worker,
+             instant started);
   // Frees what the task holds. No effect if it holds nothing.
   void finish(const task_id& task);
   // Takes note of a checkpoint, which makes the task cheaper to stop.
@@ -97,8 +97,7 @@
   bool start_one(candidate& c, instant now, plan& out);
   bool try_start(const unit_ptr& unit, team_account& account, instant now, plan& out);
   std::optional<std::vector<worker_index>> place(const pending_unit& unit, instant now);
-  worker_index choose(const pending_unit& unit, std::int32_t pool, instant end,
-                      job_spread& spread);
+  worker_index choose(const pending_unit& unit, std::int32_t pool, instant end, job_spread& spread);
   job_spread spread_of(const job_id& job) const;
   bool fits_claim(const claim& held) const;
   void help_blocked(instant now, plan& out);
--- a/src/place/team_book.cc
+++ b/src/place/team_book.cc
@@ -16,9 +16,8 @@
 }
 
 double team_book::entitlement(const team_account& account, std::int64_t active_shares) const {
-  return active_shares > 0
-             ? static_cast<double>(account.share) / static_cast<double>(active_shares)
-             : 1.0;
+  return active_shares > 0 ? static_cast<double>(account.share) / static_cast<double>(active_shares)
+                           : 1.0;
 }
 
 }  // namespace monsoonmux
--- a/src/place/testing/scheduler_random_test.cc
+++ b/src/place/testing/scheduler_random_test.cc
@@ -49,7 +49,9 @@
   std::map<task_id, held> tasks;
 };
 
-team_id team(int i) { return team_id("t" + std::to_string(i)); }
+team_id team(int i) {
+  return team_id("t" + std::to_string(i));
+}
 
 class schedule {
  public:
@@ -81,9 +83,9 @@
     } else if (kind == 8) {
       this->s.set_usable(worker_id("w" + std::to_string(this->pick(workers))), this->pick(2) == 0);
     } else if (!this->jobs.empty()) {
-      this->s.cancel(this->jobs[static_cast<std::size_t>(this->pick(
-                         static_cast<int>(this->jobs.size())))],
-                     stop_reason::cancelled);
+      this->s.cancel(
+          this->jobs[static_cast<std::size_t>(this->pick(static_cast<int>(this->jobs.size())))],
+          stop_reason::cancelled);
     }
   }
 
--- a/src/place/testing/units.h
+++ b/src/place/testing/units.h
@@ -13,7 +13,9 @@
   return {{n * 1'000}, {n * 1'024}, {gpus}};
 }
 
-inline resources unlimited() { return {{INT64_MAX / 4}, {INT64_MAX / 4}, {INT64_MAX / 4}}; }
+inline resources unlimited() {
+  return {{INT64_MAX / 4}, {INT64_MAX / 4}, {INT64_MAX / 4}};
+}
 
 // Options for a unit; `tasks` > 1 with kind batch makes no sense to the scheduler.
 struct unit_options {
--- a/src/place/worker_table.cc
+++ b/src/place/worker_table.cc
@@ -57,8 +57,7 @@
 }
 
 std::int32_t worker_table::pool_number(const pool_id& pool) {
-  return this->pools.try_emplace(pool, static_cast<std::int32_t>(this->pools.size()))
-      .first->second;
+  return this->pools.try_emplace(pool, static_cast<std::int32_t>(this->pools.size())).first->second;
 }
 
 resources worker_table::capacity() const {
--- a/src/place/worker_table.h
+++ b/src/place/worker_table.h
@@ -32,11 +32,11 @@
   struct row {
     worker_info info;
     resources free;
-    resources claimed;    // Part of `free` promised to a blocked unit.
+    resources claimed;      // Part of `free` promised to a blocked unit.
     std::int32_t rack = 0;  // Dense number of the rack.
     std::int32_t pool = 0;  // Dense number of the pool.
     std::int32_t tasks = 0;
-    bool usable = true;  // Reachable, not leaving, not set aside.
+    bool usable = true;   // Reachable, not leaving, not set aside.
     instant drain_until;  // Claims here cannot be used before; 0 if they can.
 
     // What a task that ends at `end` may use: free and unclaimed, or claimed
--- a/src/platform/host_list.h
+++ b/src/platform/host_list.h
@@ -24,7 +24,7 @@
   runner_id runner;
   pool_id pool;
   domain_id domain;
-  std::string address;  // "A.B.C.D:PORT"
+  std::string address;            // "A.B.C.D:PORT"
   std::int32_t slots = 8;         // Requests that it works on at once.
   std::int32_t connections = 64;  // Connections that it accepts.
   bool leaving = false;
--- a/src/platform/worker_port.h
+++ b/src/platform/worker_port.h
@@ -37,10 +37,10 @@
   task_id task;
   std::int32_t attempt = 1;
   report_phase phase = report_phase::running;
-  resources amount;           // As given at the start.
-  resources usage;            // Measured; lags.
-  millis age;                 // Since it started.
-  millis since_checkpoint;    // Since its state was last saved, else its age.
+  resources amount;         // As given at the start.
+  resources usage;          // Measured; lags.
+  millis age;               // Since it started.
+  millis since_checkpoint;  // Since its state was last saved, else its age.
 };
 
 // Identifies one run of a task.
@@ -96,8 +96,7 @@
 
   virtual void acquire(const worker_id& worker, right_request request,
                        reply<right_answer> done) = 0;
-  virtual void sync(const worker_id& worker, sync_request request,
-                    reply<worker_report> done) = 0;
+  virtual void sync(const worker_id& worker, sync_request request, reply<worker_report> done) = 0;
   virtual void start(const worker_id& worker, start_request request, reply<void> done) = 0;
   virtual void stop(const worker_id& worker, stop_request request, reply<void> done) = 0;
 };
--- a/src/platform_http/log_http.cc
+++ b/src/platform_http/log_http.cc
@@ -13,9 +13,9 @@
 std::string from_base64(const std::string& text) {
   std::string out(text.size(), '\0');
   std::size_t size = 0;
-  const int bad = sodium_base642bin(reinterpret_cast<unsigned char*>(out.data()), out.size(),
-                                    text.data(), text.size(), nullptr, &size, nullptr,
-                                    sodium_base64_VARIANT_ORIGINAL);
+  const int bad =
+      sodium_base642bin(reinterpret_cast<unsigned char*>(out.data()), out.size(), text.data(),
+                        text.size(), nullptr, &size, nullptr, sodium_base64_VARIANT_ORIGINAL);
   out.resize(bad == 0 ? size : 0);
   return out;
 }
--- a/src/platform_http/worker_http.cc
+++ b/src/platform_http/worker_http.cc
@@ -8,7 +8,7 @@
 
 constexpr millis command_timeout{1'500};
 
-reply<client_answer> to_done(reply<void> done) {
+reply<client_answer> to_done(const reply<void>& done) {
   return [done](const result<client_answer>& answer) {
     auto checked = read_json<bool>(answer, [](const nlohmann::json&) { return true; });
     if (checked.has_error()) {
@@ -39,7 +39,8 @@
   const std::string to = this->url(worker, verb);
   if (to.empty()) {
     // Ports never reply from within a call; the pool's check fails it later.
-    this->clients.send({}, [] { return false; }, std::move(done));
+    this->clients.send(
+        {}, [] { return false; }, std::move(done));
     return;
   }
   client_request request;
@@ -71,11 +72,11 @@
 }
 
 void worker_http::start(const worker_id& worker, start_request request, reply<void> done) {
-  this->post(worker, "start", to_json(request).dump(), request.send_by, to_done(std::move(done)));
+  this->post(worker, "start", to_json(request).dump(), request.send_by, to_done(done));
 }
 
 void worker_http::stop(const worker_id& worker, stop_request request, reply<void> done) {
-  this->post(worker, "stop", to_json(request).dump(), {}, to_done(std::move(done)));
+  this->post(worker, "stop", to_json(request).dump(), {}, to_done(done));
 }
 
 }  // namespace monsoonmux
--- a/src/right/testing/right_lease_test.cc
+++ b/src/right/testing/right_lease_test.cc
@@ -1,7 +1,8 @@
+#include "right/right_lease.h"
+
 #include <catch2/catch.hpp>
 
 #include "right/elector.h"
-#include "right/right_lease.h"
 
 namespace monsoonmux {
 namespace {
@@ -10,7 +11,9 @@
 constexpr right_options options{{4'000}, {200}};
 constexpr instant start{100'000};
 
-right_answer yes(std::int64_t recorded) { return {true, {recorded}, {60'000}}; }
+right_answer yes(std::int64_t recorded) {
+  return {true, {recorded}, {60'000}};
+}
 
 // Both rounds with the given electors at one instant.
 void win(right_lease& right, instant now, std::initializer_list<const char*> names) {
--- a/src/right/testing/right_model_test.cc
+++ b/src/right/testing/right_model_test.cc
@@ -37,7 +37,9 @@
   }
 };
 
-worker_id name(int e) { return worker_id(std::string(1, static_cast<char>('a' + e))); }
+worker_id name(int e) {
+  return worker_id(std::string(1, static_cast<char>('a' + e)));
+}
 
 struct world {
   instant now = begin;
@@ -48,8 +50,9 @@
   int restarts_left = 0;
 
   std::string key() const {
-    std::string out = std::to_string(this->now.value) + "," + std::to_string(this->requests_left[0]) +
-                      "," + std::to_string(this->requests_left[1]) + "," + std::to_string(this->restarts_left);
+    std::string out =
+        std::to_string(this->now.value) + "," + std::to_string(this->requests_left[0]) + "," +
+        std::to_string(this->requests_left[1]) + "," + std::to_string(this->restarts_left);
     for (const auto& r : this->rights) {
       out += "|" + r.describe();
     }
--- a/src/standin/main.cc
+++ b/src/standin/main.cc
@@ -1,11 +1,10 @@
 // monsoonmux_standin: plays the platform and the backend servers on loopback, for
 // tests and for trying the system out. Not shipped.
 
-#include <asio/io_context.hpp>
 #include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <boost/program_options.hpp>
-
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <thread>
@@ -80,8 +79,7 @@
     host.domain = domain_id(domain);
     host.rack = rack_id(domain + "-r" + std::to_string(i / 3));
     host.total = this->shape.worker_total;
-    host.address =
-        "127.0.0.1:" + std::to_string(this->shape.port) + "/workers/" + host.worker.text;
+    host.address = "127.0.0.1:" + std::to_string(this->shape.port) + "/workers/" + host.worker.text;
     this->workers.push_back(std::make_unique<standin_worker>(host, this->time, this->seen));
   }
 
@@ -258,13 +256,13 @@
   cell_shape shape;
   std::string domains = "north,south,west";
   po::options_description options("monsoonmux_standin, a stand-in for the platform, on loopback");
-  options.add_options()("help", "print this text")(
-      "port", po::value(&shape.port), "port of log, list and workers")(
+  options.add_options()("help", "print this text")("port", po::value(&shape.port),
+                                                   "port of log, list and workers")(
       "runner-port", po::value(&shape.runner_port), "first port of the runners")(
       "domains", po::value(&domains), "failure domains, with commas")(
       "workers", po::value(&shape.workers), "workers per domain")(
-      "runners", po::value(&shape.runners), "runners per domain")(
-      "pool", po::value(&shape.pool), "the pool that all hosts are in")(
+      "runners", po::value(&shape.runners), "runners per domain")("pool", po::value(&shape.pool),
+                                                                  "the pool that all hosts are in")(
       "cpu", po::value(&shape.worker_total.cpu.value), "millicores per worker")(
       "memory", po::value(&shape.worker_total.memory.value), "MiB per worker")(
       "accelerators", po::value(&shape.worker_total.accelerators.value), "per worker")(
@@ -289,4 +287,6 @@
 }  // namespace
 }  // namespace monsoonmux
 
-int main(int argc, char** argv) { return monsoonmux::run(argc, argv); }
+int main(int argc, char** argv) {
+  return monsoonmux::run(argc, argv);
+}
--- a/src/standin/standin_log.cc
+++ b/src/standin/standin_log.cc
@@ -19,7 +19,9 @@
   return out;
 }
 
-http_response unavailable() { return {503, "application/json", {}, "{}"}; }
+http_response unavailable() {
+  return {503, "application/json", {}, "{}"};
+}
 
 }  // namespace
 
--- a/src/standin/standin_runner.cc
+++ b/src/standin/standin_runner.cc
@@ -33,11 +33,9 @@
     this->finish(request, respond);
     return;
   }
-  auto timer =
-      std::make_shared<asio::steady_timer>(this->timers, std::chrono::milliseconds(span));
-  timer->async_wait([this, timer, request, respond](const asio::error_code&) {
-    this->finish(request, respond);
-  });
+  auto timer = std::make_shared<asio::steady_timer>(this->timers, std::chrono::milliseconds(span));
+  timer->async_wait(
+      [this, timer, request, respond](const asio::error_code&) { this->finish(request, respond); });
 }
 
 void standin_runner::finish(const http_request& request, const http_respond& respond) {
--- a/src/standin/standin_runner.h
+++ b/src/standin/standin_runner.h
@@ -17,8 +17,8 @@
 // works on at the same time.
 class standin_runner {
  public:
-  standin_runner(runner_host host, int port, const standin_faults& faults,
-                 standin_history& seen, asio::io_context& timers);
+  standin_runner(runner_host host, int port, const standin_faults& faults, standin_history& seen,
+                 asio::io_context& timers);
 
   const runner_host& description() const { return this->host; }
   int most_at_once() const { return this->most; }
--- a/src/standin/standin_worker.cc
+++ b/src/standin/standin_worker.cc
@@ -56,8 +56,7 @@
   try {
     const auto body = nlohmann::json::parse(request.body);
     if (verb == "acquire") {
-      return answer(
-          to_json(this->vote.on_request(read_right_request(body), this->time.now())));
+      return answer(to_json(this->vote.on_request(read_right_request(body), this->time.now())));
     }
     if (this->late(body.at("not_after").get<worker_time>())) {
       return refuse(408, "the command came too late");
--- a/src/state/budget.cc
+++ b/src/state/budget.cc
@@ -1,8 +1,8 @@
 // Divides upper limits by a rule that is a pure function of the log prefix. What
 // one domain gave another is a total that only grows, so records may be repeated
-// and the state stays within domains squared per team. The obvious way, a counter service that grants from a fleet-wide total, needs a
-// round trip per placement and stops when domains are cut off; here each domain
-// decides alone within its allotment, and a transfer costs one append.
+// and the state stays within domains squared per team. The obvious way, a counter service that
+// grants from a fleet-wide total, needs a round trip per placement and stops when domains are cut
+// off; here each domain decides alone within its allotment, and a transfer costs one append.
 
 #include "state/budget.h"
 
@@ -156,8 +156,8 @@
   for (const auto& [team, entry] : this->entries) {
     for (const auto& [path, total] : entry.given) {
       if (!total.zero()) {
-        out.push_back({team, path.first, path.second, total, entry.since,
-                       this->fence_of(path.first), true});
+        out.push_back(
+            {team, path.first, path.second, total, entry.since, this->fence_of(path.first), true});
       }
     }
   }
--- a/src/state/job.h
+++ b/src/state/job.h
@@ -55,7 +55,9 @@
 
 std::string_view to_string(task_phase phase);
 
-inline bool terminal(task_phase phase) { return phase >= task_phase::succeeded; }
+inline bool terminal(task_phase phase) {
+  return phase >= task_phase::succeeded;
+}
 
 // How far one task has come. States form a lattice: a terminal phase beats all
 // others, then the later attempt wins, then the later phase. Merging is
@@ -63,8 +65,8 @@
 struct task_state {
   task_phase phase = task_phase::pending;
   std::int32_t attempt = 1;
-  worker_id worker;          // Where it runs or ran; empty while pending.
-  std::int32_t failures = 0; // Runs that ended with an error.
+  worker_id worker;             // Where it runs or ran; empty while pending.
+  std::int32_t failures = 0;    // Runs that ended with an error.
   std::int64_t started_ms = 0;  // Unix time; 0 if not started.
   std::int64_t ended_ms = 0;    // Unix time; 0 if not ended.
 
--- a/src/state/record.h
+++ b/src/state/record.h
@@ -151,9 +151,9 @@
   }
 };
 
-using record = std::variant<config_patch, config_refresh, job_record, job_cancel,
-                            job_unsatisfiable, task_updates, worker_joined, worker_left,
-                            placer_fence, budget_transfer>;
+using record =
+    std::variant<config_patch, config_refresh, job_record, job_cancel, job_unsatisfiable,
+                 task_updates, worker_joined, worker_left, placer_fence, budget_transfer>;
 
 // One append: the records of one group commit. `writer`, `incarnation` and
 // `sequence` name it, so that an append whose answer was lost can be repeated.
--- a/src/state/replica.cc
+++ b/src/state/replica.cc
@@ -336,9 +336,13 @@
   return this->config_time;
 }
 
-std::int64_t replica::applied_entries() const { return this->entries; }
+std::int64_t replica::applied_entries() const {
+  return this->entries;
+}
 
-std::int64_t replica::skipped_entries() const { return this->skipped; }
+std::int64_t replica::skipped_entries() const {
+  return this->skipped;
+}
 
 std::vector<std::string> replica::snapshot(std::int64_t number) const {
   envelope e{daemon_id("snapshot"), number, 0, {}};
--- a/src/state/testing/budget_test.cc
+++ b/src/state/testing/budget_test.cc
@@ -1,14 +1,16 @@
+#include "state/budget.h"
+
 #include <catch2/catch.hpp>
 #include <random>
 
-#include "state/budget.h"
-
 namespace monsoonmux {
 namespace {
 
 const team_id team("t");
 
-domain_id domain(int i) { return domain_id("d" + std::to_string(i)); }
+domain_id domain(int i) {
+  return domain_id("d" + std::to_string(i));
+}
 
 document cell(int domains, std::int64_t cpu) {
   document doc;
--- a/src/state/testing/record_test.cc
+++ b/src/state/testing/record_test.cc
@@ -1,8 +1,8 @@
+#include "state/record.h"
+
 #include <catch2/catch.hpp>
 #include <random>
 
-#include "state/record.h"
-
 namespace monsoonmux {
 namespace {
 
--- a/src/state/testing/replica_test.cc
+++ b/src/state/testing/replica_test.cc
@@ -1,9 +1,9 @@
+#include "state/replica.h"
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <random>
 
-#include "state/replica.h"
-
 namespace monsoonmux {
 namespace {
 
@@ -14,7 +14,9 @@
   return encode({daemon_id(writer), 1, sequence, std::move(records)});
 }
 
-config_patch patch(std::int64_t base, const std::string& text) { return {{base}, text, "op", 0}; }
+config_patch patch(std::int64_t base, const std::string& text) {
+  return {{base}, text, "op", 0};
+}
 
 job make_job(const std::string& name, int tasks) {
   job j;
@@ -47,12 +49,11 @@
 TEST_CASE("a writer learns the outcome of each of its records") {
   replica one;
   std::vector<record_outcome> seen;
-  one.watch(daemon_id("w"), 1, [&](std::int64_t, std::size_t, record_outcome o) {
-    seen.push_back(o);
-  });
+  one.watch(daemon_id("w"), 1,
+            [&](std::int64_t, std::size_t, record_outcome o) { seen.push_back(o); });
   one.apply(entry(1, {patch(0, R"({"teams":{"a":{}}})"), patch(0, "{}"), patch(1, "[]")}), now);
-  CHECK(seen == std::vector{record_outcome::applied, record_outcome::lost_race,
-                            record_outcome::invalid});
+  CHECK(seen ==
+        std::vector{record_outcome::applied, record_outcome::lost_race, record_outcome::invalid});
 }
 
 TEST_CASE("a repeated entry and foreign bytes change nothing") {
--- a/src/wire/peer_link.cc
+++ b/src/wire/peer_link.cc
@@ -41,7 +41,7 @@
     });
   }
 
-  void read(std::uint32_t limit, std::function<void(bool)> done) {
+  void read(std::uint32_t limit, const std::function<void(bool)>& done) {
     auto self = this->shared_from_this();
     asio::async_read(this->socket, asio::buffer(this->head),
                      [self, limit, done](const asio::error_code& error, std::size_t) {
@@ -54,14 +54,13 @@
                          return;
                        }
                        self->body.resize(size);
-                       asio::async_read(self->socket, asio::buffer(self->body),
-                                        [self, done](const asio::error_code& e, std::size_t) {
-                                          done(!e);
-                                        });
+                       asio::async_read(
+                           self->socket, asio::buffer(self->body),
+                           [self, done](const asio::error_code& e, std::size_t) { done(!e); });
                      });
   }
 
-  void write(std::string bytes, std::function<void(bool)> done) {
+  void write(std::string bytes, const std::function<void(bool)>& done) {
     this->out = std::move(bytes);
     auto self = this->shared_from_this();
     asio::async_write(this->socket, asio::buffer(this->out),
@@ -119,22 +118,22 @@
 }
 
 std::string peer_link::state::make(peer_body body) {
-  return this->seals.seal({this->name, this->incarnation, ++this->sequence, this->logical.next(),
-                           std::move(body)});
+  return this->seals.seal(
+      {this->name, this->incarnation, ++this->sequence, this->logical.next(), std::move(body)});
 }
 
 void peer_link::state::receive() {
-  this->socket.async_receive_from(asio::buffer(this->buffer), this->from,
-                                  [self = this->shared_from_this()](const asio::error_code& error,
-                                                                    std::size_t size) {
-                                    if (error == asio::error::operation_aborted) {
-                                      return;
-                                    }
-                                    if (!error) {
-                                      self->on_bytes(size);
-                                    }
-                                    self->receive();
-                                  });
+  this->socket.async_receive_from(
+      asio::buffer(this->buffer), this->from,
+      [self = this->shared_from_this()](const asio::error_code& error, std::size_t size) {
+        if (error == asio::error::operation_aborted) {
+          return;
+        }
+        if (!error) {
+          self->on_bytes(size);
+        }
+        self->receive();
+      });
 }
 
 void peer_link::state::on_bytes(std::size_t size) {
@@ -150,16 +149,16 @@
 
 void peer_link::state::accept() {
   auto x = std::make_shared<exchange>(this->io);
-  this->acceptor.async_accept(
-      x->socket, [self = this->shared_from_this(), x](const asio::error_code& error) {
-        if (error == asio::error::operation_aborted) {
-          return;
-        }
-        if (!error && self->exchanges < max_exchanges) {
-          self->serve(x);
-        }
-        self->accept();
-      });
+  this->acceptor.async_accept(x->socket,
+                              [self = this->shared_from_this(), x](const asio::error_code& error) {
+                                if (error == asio::error::operation_aborted) {
+                                  return;
+                                }
+                                if (!error && self->exchanges < max_exchanges) {
+                                  self->serve(x);
+                                }
+                                self->accept();
+                              });
 }
 
 void peer_link::state::serve(const std::shared_ptr<exchange>& x) {
@@ -224,7 +223,7 @@
   });
 }
 
-void peer_link::ask(const endpoint& to, peer_body body, reply<peer_body> done) {
+void peer_link::ask(const endpoint& to, peer_body body, const reply<peer_body>& done) {
   const std::string bytes = frame(this->self->make(std::move(body)));
   this->self->sent += static_cast<std::int64_t>(bytes.size());
   asio::post(this->self->io, [s = this->self, to, bytes, done] {
@@ -247,9 +246,9 @@
           return;
         }
         x->read(max_frame, [s, x, done, fail](bool read) {
-          const auto opened = read ? s->seals.open(x->body)
-                                   : result<peer_message>(
-                                         not_run(error_code::connection_lost, "read"));
+          const auto opened =
+              read ? s->seals.open(x->body)
+                   : result<peer_message>(not_run(error_code::connection_lost, "read"));
           if (opened.has_error()) {
             fail(opened.error().detail);
             return;
@@ -263,8 +262,14 @@
   });
 }
 
-std::int64_t peer_link::sent_bytes() const { return this->self->sent; }
-std::int64_t peer_link::received_bytes() const { return this->self->received; }
-std::int64_t peer_link::dropped() const { return this->self->dropped; }
+std::int64_t peer_link::sent_bytes() const {
+  return this->self->sent;
+}
+std::int64_t peer_link::received_bytes() const {
+  return this->self->received;
+}
+std::int64_t peer_link::dropped() const {
+  return this->self->dropped;
+}
 
 }  // namespace monsoonmux
--- a/src/wire/peer_message.h
+++ b/src/wire/peer_message.h
@@ -53,7 +53,8 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(domain, http, peer, draining, now, next, version, grant_placer, grant_seen, held, placing);
+    archive(domain, http, peer, draining, now, next, version, grant_placer, grant_seen, held,
+            placing);
   }
 };
 
--- a/src/wire/testing/wire_test.cc
+++ b/src/wire/testing/wire_test.cc
@@ -59,17 +59,19 @@
   std::promise<std::string> got;
   const endpoint at_a{"127.0.0.1", 17'431};
   const endpoint at_b{"127.0.0.1", 17'432};
-  peer_link a(at_a, daemon_id("a"), 1, seals_a, logical, [](const peer_message&) {},
-              [](const peer_message&) { return peer_body(heartbeat{}); });
+  peer_link a(
+      at_a, daemon_id("a"), 1, seals_a, logical, [](const peer_message&) {},
+      [](const peer_message&) { return peer_body(heartbeat{}); });
   peer_link b(
       at_b, daemon_id("b"), 1, seals_b, logical,
       [&](const peer_message& m) { got.set_value(m.sender.text); },
-      [](const peer_message&) { return peer_body(log_pulled{{{{3}, "x"}}, {3}, {4}}); });
+      [](const peer_message&) {
+        return peer_body(log_pulled{{{{3}, "x"}}, {3}, {4}});
+      });
 
   asio::io_context io;
   asio::ip::udp::socket junk(io, asio::ip::udp::v4());
-  junk.send_to(asio::buffer(std::string(100, 'x')),
-               {asio::ip::make_address("127.0.0.1"), 17'432});
+  junk.send_to(asio::buffer(std::string(100, 'x')), {asio::ip::make_address("127.0.0.1"), 17'432});
   a.send(at_b, heartbeat{});
   CHECK(got.get_future().get() == "a");
   CHECK(b.dropped() == 1);
