--- a/src/control/domain_placer.cc
+++ b/src/control/domain_placer.cc
@@ -221,7 +221,8 @@
 void domain_placer::sync_workers(instant now) {
   auto self = this->shared_from_this();
   const std::int64_t era = this->era;
-  for (auto& asked : this->links.due(now, this->right.number(), this->right.held_until(), true)) {
+  for (auto& asked : this->links.due(now, this->right.number(), this->right.held_until(),
+                                     this->phase == placer_phase::recovering)) {
     this->out.emplace_back([self, era, asked] {
       self->port.sync(asked.worker, asked.request,
                       [self, era, asked](const result<worker_report>& answer) {
@@ -350,7 +351,28 @@
   for (const task_report& task : report.tasks) {
     this->take_task(worker, task, now);
   }
-  this->take_missing(worker, report, sent, now);
+  if (report.whole) {
+    this->take_missing(worker, report, sent, now);
+  } else {
+    this->ask_for_unsettled(worker, sent);
+  }
+}
+
+// A start whose answer was lost shows only in a whole report that it is missing.
+void domain_placer::ask_for_unsettled(const worker_id& worker, instant sent) {
+  const worker_index index = this->schedule->workers().find(worker);
+  worker_link* link = this->links.find(worker);
+  if (index == no_worker || link == nullptr) {
+    return;
+  }
+  for (const running_task* running : this->schedule->running().on_worker(index)) {
+    const task_entry* task = this->book.find(running->id);
+    const bool unsettled = task != nullptr && task->stage != task_stage::running &&
+                           sent > std::max(task->start_deadline, task->confirmed_at);
+    if (unsettled) {
+      link->report_number = 0;
+    }
+  }
 }
 
 void domain_placer::take_task(const worker_id& worker, const task_report& report, instant now) {
--- a/src/control/domain_placer.h
+++ b/src/control/domain_placer.h
@@ -113,6 +113,7 @@
                     task_entry& task, instant now);
   void take_failure(const worker_id& worker, const task_report& report, job_entry& job,
                     task_entry& task, instant now);
+  void ask_for_unsettled(const worker_id& worker, instant sent);
   void take_missing(const worker_id& worker, const worker_report& report, instant sent,
                     instant now);
   void adopt(const worker_id& worker, const task_report& report, job_entry& job, task_entry& task,
--- a/src/control/testing/fake_worker.h
+++ b/src/control/testing/fake_worker.h
@@ -45,12 +45,16 @@
     worker_report out;
     out.now = this->clock_now();
     out.uptime = this->now() - this->boot;
+    out.number = this->changes;
+    out.whole = r.since < this->first_change || r.since > this->changes;
     for (auto& [run, t] : this->tasks) {
       if (t.phase == report_phase::running && r.lease.value > 0) {
         t.lease_until = this->now() + r.lease;
       }
-      out.tasks.push_back({run.task, run.attempt, t.phase, t.amount, t.amount,
-                           this->now() - t.started, this->now() - t.started});
+      if (out.whole || t.changed > r.since) {
+        out.tasks.push_back({run.task, run.attempt, t.phase, t.amount, t.amount,
+                             this->now() - t.started, this->now() - t.started});
+      }
     }
     return out;
   }
@@ -68,6 +72,7 @@
     t.started = this->now();
     t.lease_until = this->now() + r.lease;
     t.fails = this->fails_all || r.command.rfind("fail:", 0) == 0;
+    t.changed = ++this->changes;
     t.ends = this->now() + millis{std::stol(r.command.substr(r.command.find(':') + 1))};
     this->tasks[r.run] = t;
     this->write(history_kind::task_started, r.run.task, "", r.amount);
@@ -103,6 +108,8 @@
     }
     this->tasks.clear();
     this->boot = this->world.time.now();
+    this->changes = std::max(this->changes + 1, this->boot.value);
+    this->first_change = this->changes;
     this->vote = elector(this->boot);
     this->up = true;
   }
@@ -117,6 +124,7 @@
     instant ends;
     instant lease_until;
     bool fails = false;
+    std::int64_t changed = 0;
   };
 
   instant now() const { return this->world.time.now(); }
@@ -160,6 +168,7 @@
 
   void end(const task_run& run, task& t, report_phase phase) {
     t.phase = phase;
+    t.changed = ++this->changes;
     const char* name = phase == report_phase::succeeded ? "succeeded"
                        : phase == report_phase::failed  ? "failed"
                                                         : "stopped";
@@ -186,6 +195,8 @@
   instant boot;
   elector vote;
   std::int64_t offset;
+  std::int64_t changes = this->boot.value;  // Report number; from the clock at a start.
+  std::int64_t first_change = this->changes;
   std::map<task_run, task> tasks;
 };
 
--- a/src/control/worker_links.cc
+++ b/src/control/worker_links.cc
@@ -46,7 +46,7 @@
 }
 
 std::vector<worker_links::sync> worker_links::due(instant now, epoch number, instant right_end,
-                                                  bool renew) {
+                                                  bool whole) {
   std::vector<sync> out;
   for (auto& [id, link] : this->links) {
     if (link.syncing || now < link.next_sync) {
@@ -54,9 +54,12 @@
     }
     link.syncing = true;
     link.next_sync = now + this->options.task_lease / this->options.syncs_per_lease;
-    sync s{id, {this->domain, number, {}, {}, no_deadline, {}}, now};
+    sync s{id, {this->domain, number, {}, {}, no_deadline, 0, {}}, now};
     const bool alive = link.clock_known && link.missed < this->options.misses;
-    if (renew && alive) {
+    if (!whole && now < link.last_whole + this->options.whole_every) {
+      s.request.since = link.report_number;
+    }
+    if (alive) {
       s.request.lease = this->options.task_lease;
       s.request.not_after = this->command_deadline(id, now, right_end);
       s.request.send_by = this->command_end(now, right_end);
@@ -79,6 +82,8 @@
   link->reported_now = report.now;
   link->reported_at = now;
   link->heard = now;
+  link->report_number = report.number;
+  link->last_whole = report.whole ? asked.sent : link->last_whole;
   if (back) {
     link->next_sync = now;  // Renew what still runs there.
   }
--- a/src/control/worker_links.h
+++ b/src/control/worker_links.h
@@ -14,7 +14,8 @@
   millis task_lease{10'000};    // Given to tasks with each renewal.
   millis command_bound{2'000};  // Commands take effect within this, or never.
   int syncs_per_lease = 4;
-  int misses = 2;  // Failed syncs before leases stop being renewed.
+  int misses = 2;              // Failed syncs before leases stop being renewed.
+  millis whole_every{60'000};  // A whole report is asked for at least this often.
 };
 
 // What the placer knows of one worker between two reports.
@@ -30,6 +31,8 @@
   instant next_sync;
   bool syncing = false;
   int missed = 0;
+  std::int64_t report_number = 0;  // Of the last report; 0 asks for a whole one.
+  instant last_whole;
   // Tasks there run no longer than this unless a later command renews them.
   instant may_run_until;
   std::set<task_run> ended;  // Recorded ends to acknowledge.
@@ -57,9 +60,9 @@
   void set_hosts(const std::vector<worker_host>& hosts);
   void drop(const worker_id& worker) { this->links.erase(worker); }
 
-  // Syncs due now under the right that ends at `right_end`. With `renew` false
-  // they only ask for reports.
-  std::vector<sync> due(instant now, epoch number, instant right_end, bool renew);
+  // Syncs due now under the right that ends at `right_end`. With `whole` they ask
+  // for whole reports, else for what changed.
+  std::vector<sync> due(instant now, epoch number, instant right_end, bool whole);
   void on_report(const sync& asked, const worker_report& report, instant now);
   void on_failure(const sync& asked, instant now);
 
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -253,6 +253,8 @@
   numbers.gauge("log_entries_skipped", static_cast<double>(this->core.state.skipped_entries()));
   numbers.gauge("log_appends", static_cast<double>(this->core.writer.appends()));
   numbers.gauge("log_append_bytes", static_cast<double>(this->core.writer.bytes()));
+  numbers.gauge("log_bytes", static_cast<double>(this->core.log_clients.bytes()));
+  numbers.gauge("worker_bytes", static_cast<double>(this->core.worker_clients.bytes()));
   numbers.gauge("peer_sent_bytes", static_cast<double>(this->link->sent_bytes()));
   numbers.gauge("peer_received_bytes", static_cast<double>(this->link->received_bytes()));
   numbers.gauge("peer_dropped_messages", static_cast<double>(this->link->dropped()));
--- a/src/http/client_pool.cc
+++ b/src/http/client_pool.cc
@@ -75,7 +75,11 @@
     if (clients.size() > max_connections_per_thread) {
       clients.clear();
     }
-    next.done(clients[origin_of(next.request.url)].send(next.request));
+    http_client& client = clients[origin_of(next.request.url)];
+    const std::int64_t before = client.bytes();
+    const auto answer = client.send(next.request);
+    this->byte_count += client.bytes() - before;
+    next.done(answer);
   }
 }
 
--- a/src/http/client_pool.h
+++ b/src/http/client_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <condition_variable>
 #include <deque>
 #include <functional>
@@ -25,6 +26,9 @@
   // no reply is given any more and send() fails at once.
   void stop();
 
+  // Bytes on the wire in both directions.
+  std::int64_t bytes() const { return this->byte_count; }
+
   // Runs `check` just before sending; if it is false the request is not sent.
   void send(client_request request, std::function<bool()> check, reply<client_answer> done);
 
@@ -42,6 +46,7 @@
   std::condition_variable wake;
   std::deque<job> jobs;
   bool stopping = false;
+  std::atomic<std::int64_t> byte_count{0};
   std::vector<std::thread> threads;
 };
 
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -61,6 +61,18 @@
   return size * count;
 }
 
+std::int64_t bytes_of(CURL* h) {
+  long head_out = 0;
+  long head_in = 0;
+  curl_off_t body_out = 0;
+  curl_off_t body_in = 0;
+  curl_easy_getinfo(h, CURLINFO_REQUEST_SIZE, &head_out);
+  curl_easy_getinfo(h, CURLINFO_HEADER_SIZE, &head_in);
+  curl_easy_getinfo(h, CURLINFO_SIZE_UPLOAD_T, &body_out);
+  curl_easy_getinfo(h, CURLINFO_SIZE_DOWNLOAD_T, &body_in);
+  return head_out + head_in + body_out + body_in;
+}
+
 }  // namespace
 
 std::string client_answer::header(const std::string& name) const {
@@ -133,6 +145,7 @@
     curl_easy_setopt(h, CURLOPT_NOBODY, 1L);
   }
   const CURLcode code = curl_easy_perform(h);
+  this->byte_count += bytes_of(h);
   if (code == CURLE_OK) {
     long status = 0;
     curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &status);
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -43,12 +43,15 @@
   http_client& operator=(const http_client&) = delete;
 
   result<client_answer> send(const client_request& request);
+  // Bytes on the wire in both directions since the client was made.
+  std::int64_t bytes() const { return this->byte_count; }
   // Closes the connection, so that the next request opens a new one.
   void close();
 
  private:
   struct state;
   std::unique_ptr<state> self;
+  std::int64_t byte_count = 0;
 };
 
 }  // namespace monsoonmux
--- a/src/place/scheduler.cc
+++ b/src/place/scheduler.cc
@@ -325,33 +325,41 @@
 void scheduler::help_blocked(instant now, plan& out) {
   this->round_shares = this->book.active_shares();
   for (auto& [team, account] : this->book.all()) {
-    std::vector<unit_ptr> heads;
     for (const auto& [shape, line] : account.waiting.by_shape()) {
-      heads.push_back(line.front());
-    }
-    for (const unit_ptr& unit : heads) {
-      this->help(unit, account, now, out);
+      resources planned = account.used;
+      const std::size_t most = std::min(line.size(), this->options.max_helped);
+      for (std::size_t i = 0; i < most; ++i) {
+        planned += line[i]->demand();
+        if (!this->help(line[i], account, planned, now, out)) {
+          break;
+        }
+      }
     }
   }
 }
 
-void scheduler::help(const unit_ptr& unit, const team_account& account, instant now, plan& out) {
-  const resources after = account.used + unit->demand();
+// `planned` is what the team would use with this unit and those before it. False
+// if nothing can be done for the unit, and so for those of its shape behind it.
+bool scheduler::help(const unit_ptr& unit, const team_account& account, const resources& planned,
+                     instant now, plan& out) {
   const bool within_share =
-      this->book.usage(after) <= this->book.entitlement(account, this->round_shares);
-  if (this->claimed.size() >= this->options.max_claims || !after.fits(account.allowance) ||
-      this->claimed.of(unit.get()) != nullptr) {
-    return;
+      this->book.usage(planned) <= this->book.entitlement(account, this->round_shares);
+  if (this->claimed.of(unit.get()) != nullptr) {
+    return true;
+  }
+  if (this->claimed.size() >= this->options.max_claims || !planned.fits(account.allowance)) {
+    return false;
   }
   const millis waited = now - unit->since;
   const bool urgent = unit->priority == urgency::urgent;
   if (within_share && (urgent || waited >= this->options.reclaim_patience) &&
       this->reclaim(unit, now, out)) {
-    return;
+    return true;
   }
   if (waited >= this->options.drain_patience) {
     this->drain(unit, now);
   }
+  return false;
 }
 
 bool scheduler::reclaim(const unit_ptr& unit, instant now, plan& out) {
--- a/src/place/scheduler.h
+++ b/src/place/scheduler.h
@@ -16,7 +16,8 @@
 // Limits and patience of the scheduler.
 struct scheduler_options {
   std::size_t max_starts = 256;    // Units started per round; bounds its time.
-  std::size_t max_claims = 32;     // Blocked units that hold claims at once.
+  std::size_t max_claims = 64;     // Blocked units that hold claims at once.
+  std::size_t max_helped = 16;     // Blocked units of one shape looked at per round.
   millis reclaim_patience{5'000};  // Wait of normal work before lent work stops.
   millis drain_patience{10'000};   // Wait before a unit that fits nowhere claims.
   millis claim_lifetime{60'000};   // After a claim is ready.
@@ -101,7 +102,8 @@
   job_spread spread_of(const job_id& job) const;
   bool fits_claim(const claim& held) const;
   void help_blocked(instant now, plan& out);
-  void help(const unit_ptr& unit, const team_account& account, instant now, plan& out);
+  bool help(const unit_ptr& unit, const team_account& account, const resources& planned,
+            instant now, plan& out);
   bool reclaim(const unit_ptr& unit, instant now, plan& out);
   void drain(const unit_ptr& unit, instant now);
   void stop_backfill(instant now, plan& out);
--- a/src/place/testing/scheduler_test.cc
+++ b/src/place/testing/scheduler_test.cc
@@ -118,6 +118,24 @@
   CHECK(after.starts[0].unit->team == team_id("lender"));
 }
 
+TEST_CASE("a burst of urgent work is helped all at once, not one unit per round") {
+  scheduler s({});
+  add_workers(s, 4, cores(8));
+  s.set_team(team_id("a"), 1, unlimited());
+  s.set_team(team_id("b"), 1, unlimited());
+  submit_many(s, "b", 32, cores(1));
+  CHECK(tasks_started(s.decide({})) == 32);
+  for (int i = 0; i < 16; ++i) {
+    s.submit(make_unit({"u" + std::to_string(i), "a", work_kind::batch, urgency::urgent}));
+  }
+  const plan p = s.decide({1'000});
+  CHECK(p.stops.size() == 16);
+  for (const task_stop& stop : p.stops) {
+    s.finish(stop.task);
+  }
+  CHECK(started_of(s.decide({1'300}), "a") == 16);
+}
+
 TEST_CASE("urgent work above the team's share stops nobody") {
   scheduler s({});
   add_workers(s, 2, cores(4));
--- a/src/platform/worker_port.h
+++ b/src/platform/worker_port.h
@@ -59,12 +59,19 @@
   instant send_by;  // Local time; not sent at or after it, unless 0.
   millis lease;
   worker_time not_after = no_deadline;
+  std::int64_t since = 0;       // Number of the last report read; 0 for none.
   std::vector<task_run> ended;  // Recorded; the worker may forget them.
 };
 
+// All tasks (`whole`), or those that started, ended, saved their state or changed
+// their usage since the report that the request named. Numbers grow, also from
+// one start of the worker to the next; a number that it did not give gets a
+// whole report.
 struct worker_report {
   worker_time now = 0;
   millis uptime;
+  std::int64_t number = 0;
+  bool whole = true;
   std::vector<task_report> tasks;
 };
 
--- a/src/platform_http/testing/platform_http_test.cc
+++ b/src/platform_http/testing/platform_http_test.cc
@@ -34,7 +34,7 @@
 }  // namespace
 
 TEST_CASE("messages to and from a worker survive JSON") {
-  sync_request sync{domain_id("d"), {4}, {}, {10'000}, 77, {{{job_id("j"), 3}, 2}}};
+  sync_request sync{domain_id("d"), {4}, {}, {10'000}, 77, 12, {{{job_id("j"), 3}, 2}}};
   CHECK(to_json(read_sync_request(to_json(sync))) == to_json(sync));
   worker_report report;
   report.now = 5;
--- a/src/platform_http/worker_json.cc
+++ b/src/platform_http/worker_json.cc
@@ -77,11 +77,9 @@
   for (const task_run& run : value.ended) {
     ended.push_back(run_json(run));
   }
-  return {{"domain", value.domain.text},
-          {"epoch", value.number.value},
-          {"lease_ms", value.lease.value},
-          {"not_after", value.not_after},
-          {"ended", ended}};
+  return {{"domain", value.domain.text},   {"epoch", value.number.value},
+          {"lease_ms", value.lease.value}, {"not_after", value.not_after},
+          {"since", value.since},          {"ended", ended}};
 }
 
 sync_request read_sync_request(const json& value) {
@@ -90,6 +88,7 @@
   out.number.value = value.at("epoch");
   out.lease.value = value.at("lease_ms");
   out.not_after = value.at("not_after");
+  out.since = value.at("since");
   for (const json& run : value.at("ended")) {
     out.ended.push_back(read_run(run));
   }
@@ -107,13 +106,19 @@
     item["since_checkpoint_ms"] = t.since_checkpoint.value;
     tasks.push_back(std::move(item));
   }
-  return {{"now", value.now}, {"uptime_ms", value.uptime.value}, {"tasks", tasks}};
+  return {{"now", value.now},
+          {"uptime_ms", value.uptime.value},
+          {"number", value.number},
+          {"whole", value.whole},
+          {"tasks", tasks}};
 }
 
 worker_report read_worker_report(const json& value) {
   worker_report out;
   out.now = value.at("now");
   out.uptime.value = value.at("uptime_ms");
+  out.number = value.at("number");
+  out.whole = value.at("whole");
   for (const json& item : value.at("tasks")) {
     const task_run run = read_run(item);
     out.tasks.push_back({run.task,
--- a/src/standin/standin_worker.cc
+++ b/src/standin/standin_worker.cc
@@ -32,7 +32,9 @@
       time(time),
       seen(seen),
       boot(time.now() - initial_uptime),
-      vote(this->boot) {
+      vote(this->boot),
+      changes(time.wall_ms()),
+      first_change(this->changes) {
   history_event e;
   e.kind = history_kind::worker_size;
   e.subject = this->host.worker.text;
@@ -91,12 +93,16 @@
   worker_report out;
   out.now = now.value;
   out.uptime = now - this->boot;
+  out.number = this->changes;
+  out.whole = request.since < this->first_change || request.since > this->changes;
   for (auto& [run, t] : this->tasks) {
     if (t.phase == report_phase::running && request.lease.value > 0) {
       t.lease_until = now + request.lease;
     }
-    out.tasks.push_back({run.task, run.attempt, t.phase, t.amount, t.amount, now - t.started,
-                         now - t.checkpointed});
+    if (out.whole || t.changed > request.since) {
+      out.tasks.push_back({run.task, run.attempt, t.phase, t.amount, t.amount, now - t.started,
+                           now - t.checkpointed});
+    }
   }
   return out;
 }
@@ -112,6 +118,7 @@
   t.checkpointed = now;
   t.ends = now + duration_of(request.command);
   t.lease_until = now + request.lease;
+  t.changed = ++this->changes;
   t.fails = this->fails_all || request.command.rfind("fail", 0) == 0;
   this->tasks[request.run] = t;
   history_event e;
@@ -132,6 +139,7 @@
 
 void standin_worker::end(const task_run& run, task& t, report_phase phase) {
   t.phase = phase;
+  t.changed = ++this->changes;
   history_event e;
   e.kind = history_kind::task_stopped;
   e.subject = this->host.worker.text;
@@ -171,6 +179,8 @@
   this->tasks.clear();
   this->epochs.clear();
   this->boot = this->time.now();
+  this->changes = std::max(this->changes + 1, this->time.wall_ms());
+  this->first_change = this->changes;
   this->vote = elector(this->boot);
 }
 
--- a/src/standin/standin_worker.h
+++ b/src/standin/standin_worker.h
@@ -40,6 +40,7 @@
     instant ends;
     instant lease_until;
     bool fails = false;
+    std::int64_t changed = 0;  // Number of the report that tells of it.
   };
 
   bool late(worker_time not_after) const;
@@ -58,6 +59,8 @@
   elector vote;
   std::map<domain_id, epoch> epochs;
   std::map<task_run, task> tasks;
+  std::int64_t changes;       // Report number; starts from the clock.
+  std::int64_t first_change;  // Its value when the worker started.
   bool silent = false;
   bool fails_all = false;
 };
