Count what is being stopped once, and let no team at its share claim room

Cause 1: room that stopping tasks give back was not counted, so later units of a round stopped more. Cause 2: drains served teams above their share; a loud team always has work that waited 10 s, so it always held a claim. Ruled out: the order of starts (exact without claims). Change: both.

--- a/src/place/scheduler.cc
+++ b/src/place/scheduler.cc
@@ -356,7 +356,11 @@
       this->reclaim(unit, now, out)) {
     return true;
   }
-  if (waited >= this->options.drain_patience) {
+  // A team at its share waits for its turn like all others; one below it may
+  // claim even what takes it above, or a large gang would never start.
+  const bool below_share =
+      this->book.usage(account.used) < this->book.entitlement(account, this->round_shares);
+  if (below_share && waited >= this->options.drain_patience) {
     this->drain(unit, now);
   }
   return false;
--- a/src/place/testing/scheduler_test.cc
+++ b/src/place/testing/scheduler_test.cc
@@ -196,6 +196,18 @@
   CHECK(p.starts[0].unit->kind == work_kind::gang);
 }
 
+TEST_CASE("a team at its share claims nothing, however long its work waits") {
+  scheduler s({});
+  add_workers(s, 2, cores(4));
+  s.set_team(team_id("a"), 1, unlimited());
+  s.set_team(team_id("loud"), 1, unlimited());
+  submit_many(s, "a", 4, cores(1));
+  submit_many(s, "loud", 100, cores(1));
+  CHECK(tasks_started(s.decide({})) == 8);
+  CHECK(s.decide({600'000}).stops.empty());
+  CHECK(s.claims().size() == 0);
+}
+
 TEST_CASE("a task that outgrows its worker is told apart") {
   scheduler s({});
   add_workers(s, 1, cores(4));
--- a/src/place/victim_finder.cc
+++ b/src/place/victim_finder.cc
@@ -43,7 +43,11 @@
                                                             const pending_unit& unit,
                                                             const scratch& s, instant now) const {
   const auto& row = this->workers[worker];
+  // What was stopped for earlier claims comes back, and is in those claims.
   resources open = row.free - row.claimed;
+  for (const running_task* task : this->running.on_worker(worker)) {
+    open += task->stopping ? task->reserved : resources{};
+  }
   if (const auto taken = s.taken.find(worker); taken != s.taken.end()) {
     open -= taken->second;
   }
