--- a/src/control/right_keeper.cc
+++ b/src/control/right_keeper.cc
@@ -7,6 +7,8 @@
 
 // Requests per lease; three may be lost in a row.
 constexpr std::int64_t asks_per_ttl = 4;
+// The longest pause of a candidate that failed, in quarters of a lease time.
+constexpr std::size_t pause_steps = 8;
 
 }  // namespace
 
@@ -43,6 +45,12 @@
     if (!wanted || now < s.next_ask) {
       continue;
     }
+    if (this->give_way(s, now)) {
+      const auto back = this->asks(s, now, millis{});
+      out.insert(out.end(), back.begin(), back.end());
+      s.right.reset();
+      continue;
+    }
     s.next_ask = now + this->options.ttl / asks_per_ttl;
     const auto more = this->asks(s, now, this->options.ttl);
     out.insert(out.end(), more.begin(), more.end());
@@ -50,6 +58,27 @@
   return out;
 }
 
+// True once when the candidate has to stop trying for a while.
+bool right_keeper::give_way(elector_set& s, instant now) {
+  if (s.right.held_until() > now) {
+    s.trying_since = {};
+    s.failed_tries = 0;
+    return false;
+  }
+  if (s.trying_since == instant{}) {
+    s.trying_since = now;
+  }
+  if (now - s.trying_since < this->options.ttl) {
+    return false;
+  }
+  ++s.failed_tries;
+  const std::size_t turn = std::hash<std::string>{}(this->holder + std::to_string(s.failed_tries));
+  const auto steps = static_cast<std::int64_t>(turn % pause_steps) + 1;
+  s.next_ask = now + this->options.ttl / asks_per_ttl * steps;
+  s.trying_since = {};
+  return true;
+}
+
 void right_keeper::on_answer(const ask& asked, const right_answer& answer, instant now) {
   for (elector_set& s : this->sets) {
     if (s.id != asked.set) {
--- a/src/control/right_keeper.h
+++ b/src/control/right_keeper.h
@@ -12,6 +12,10 @@
 // When the configuration names other electors, the former ones stay in use
 // beside them for `overlap`, so that a candidate that does not yet know the new
 // set cannot win. The right is held while it is held from every set in use.
+//
+// A candidate that has won no majority for a lease time gives back what it has
+// and pauses, for longer after each failure and by its own name, so that two
+// candidates which each hold a part of the electors do not block each other.
 class right_keeper {
  public:
   // One request to an elector; its answer goes to on_answer() with this value.
@@ -47,9 +51,12 @@
     right_lease right;
     instant retire;  // When the set goes out of use; instant{} for the newest.
     instant next_ask;
+    instant trying_since;  // First request without a majority; instant{} if held.
+    std::int64_t failed_tries = 0;
   };
 
   std::vector<ask> asks(elector_set& s, instant now, millis ttl);
+  bool give_way(elector_set& s, instant now);
 
   const domain_id domain;
   const std::string holder;
--- a/src/control/testing/fake_cell.cc
+++ b/src/control/testing/fake_cell.cc
@@ -161,6 +161,7 @@
     : world(world),
       name(name),
       home(home),
+      incarnation(incarnation),
       events(world, name, lines),
       log_path(std::make_unique<log_route>(*this, log)),
       no_peers(std::make_unique<no_peer>(world)),
@@ -307,13 +308,15 @@
 }
 
 fake_daemon& fake_cell::live_daemon() {
-  for (;;) {
+  constexpr int tries = 100;
+  for (int i = 0; i < tries; ++i) {
     auto& d = *this->daemons[static_cast<std::size_t>(
         this->world.pick(static_cast<int>(this->daemons.size())))];
     if (d.alive && this->world.time.now() >= d.paused_until) {
       return d;
     }
   }
+  return *this->daemons.front();  // All are paused or dead at the moment.
 }
 
 void fake_cell::submit(job_spec spec, const std::vector<job_part>& parts) {
--- a/src/control/testing/fake_cell.h
+++ b/src/control/testing/fake_cell.h
@@ -72,10 +72,13 @@
   void deliver(std::function<void()> action);
   void tick();
   void pause(millis span);
+  // Name and incarnation, as the history knows this start of the daemon.
+  std::string writer_name() const { return this->name + "#" + std::to_string(this->incarnation); }
 
   fake_world& world;
   std::string name;
   domain_id home;
+  std::int64_t incarnation = 0;
   bool alive = true;
   instant paused_until;
   event_log events;
--- /dev/null
+++ b/src/control/testing/right_keeper_test.cc
@@ -0,0 +1,87 @@
+#include "control/right_keeper.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "right/elector.h"
+
+namespace monsoonmux {
+namespace {
+
+// Two keepers and their electors, with instant messages.
+struct duel {
+  duel() : a(domain_id("d"), "a", {}), b(domain_id("d"), "b", {}) {
+    for (const char* name : {"x", "y", "z"}) {
+      this->names.emplace_back(name);
+      this->voters.emplace(worker_id(name), elector(instant{0}));
+    }
+    this->a.configure(this->names, this->now);
+    this->b.configure(this->names, this->now);
+  }
+
+  void ask(right_keeper& k, bool candidate = true) {
+    for (const right_keeper::ask& asked : k.due(this->now, candidate)) {
+      const auto it = this->voters.find(asked.elector);
+      if (it != this->voters.end()) {
+        k.on_answer(asked, it->second.on_request(asked.request, this->now), this->now);
+      }
+    }
+  }
+
+  bool step() {
+    this->now = this->now + millis{100};
+    this->ask(this->a);
+    this->ask(this->b);
+    REQUIRE_FALSE((this->a.held(this->now) && this->b.held(this->now)));
+    return this->a.held(this->now) || this->b.held(this->now);
+  }
+
+  instant now{1'000'000};
+  std::vector<worker_id> names;
+  std::map<worker_id, elector> voters;
+  right_keeper a;
+  right_keeper b;
+};
+
+}  // namespace
+
+TEST_CASE("two candidates that split the electors do not block each other for good") {
+  duel d;
+  const right_request mine{domain_id("d"), "a", {4'000}, {}};
+  const right_request other{domain_id("d"), "b", {4'000}, {}};
+  d.voters.at(worker_id("x")).on_request(mine, d.now);
+  d.voters.at(worker_id("y")).on_request(other, d.now);
+  d.voters.erase(worker_id("z"));
+  int steps = 0;
+  while (!d.step() && steps < 600) {
+    ++steps;
+  }
+  CHECK(steps < 300);
+}
+
+TEST_CASE("a former set of electors is needed beside the new one for an hour") {
+  duel d;
+  for (int i = 0; i < 5; ++i) {
+    d.step();
+  }
+  REQUIRE(d.a.held(d.now));
+  for (const char* name : {"p", "q", "r"}) {
+    d.voters.emplace(worker_id(name), elector(instant{0}));
+  }
+  const std::vector<worker_id> fresh = {worker_id("p"), worker_id("q"), worker_id("r")};
+  d.a.configure(fresh, d.now);
+  for (int i = 0; i < 20; ++i) {
+    d.step();
+  }
+  CHECK(d.a.held(d.now));
+  for (const char* name : {"x", "y"}) {
+    d.voters.erase(worker_id(name));
+  }
+  for (int i = 0; i < 60; ++i) {
+    d.now = d.now + millis{100};
+    d.ask(d.a);
+  }
+  CHECK_FALSE(d.a.held(d.now));
+}
+
+}  // namespace monsoonmux
--- a/src/history/checker.cc
+++ b/src/history/checker.cc
@@ -1,12 +1,14 @@
 // One small checker class per promise, each fed every event in order of time.
 // They share nothing with the scheduler's code, so an error in one is not
-// repeated in the other. Events of one instant are fed ends first, since a place
-// that becomes free may be taken in the same millisecond.
+// repeated in the other. Events of one instant keep each worker's own order; among
+// workers ends are fed first, since what becomes free on one may be taken on
+// another in the same millisecond.
 
 #include "history/checker.h"
 
 #include <algorithm>
 #include <array>
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -328,6 +330,43 @@
   std::set<std::string> recorded;
 };
 
+// Moves the events of one instant to `out`. What one worker saw keeps its order;
+// among workers ends come first.
+void take_instant(std::map<std::string, std::deque<history_event>>& by_subject, history& out) {
+  const auto is_end = [](const auto& item) {
+    return !item.second.empty() && item.second.front().kind == history_kind::task_stopped;
+  };
+  const auto any = [](const auto& item) { return !item.second.empty(); };
+  for (;;) {
+    auto next = std::find_if(by_subject.begin(), by_subject.end(), is_end);
+    if (next == by_subject.end()) {
+      next = std::find_if(by_subject.begin(), by_subject.end(), any);
+    }
+    if (next == by_subject.end()) {
+      by_subject.clear();
+      return;
+    }
+    out.push_back(next->second.front());
+    next->second.pop_front();
+  }
+}
+
+history in_order(const history& events) {
+  history sorted = events;
+  std::stable_sort(
+      sorted.begin(), sorted.end(),
+      [](const history_event& a, const history_event& b) { return a.at_ms < b.at_ms; });
+  history out;
+  std::map<std::string, std::deque<history_event>> instant;
+  for (std::size_t i = 0; i < sorted.size(); ++i) {
+    instant[sorted[i].subject].push_back(sorted[i]);
+    if (i + 1 == sorted.size() || sorted[i + 1].at_ms != sorted[i].at_ms) {
+      take_instant(instant, out);
+    }
+  }
+  return out;
+}
+
 constexpr std::array<std::string_view, 13> names = {
     "no_overcommit",   "one_place",    "upper_limit",    "withdrawn_key",  "own_answer",
     "not_run_is_true", "at_most_once", "leaving_runner", "no_request_cut", "config_monotonic",
@@ -361,13 +400,7 @@
 std::vector<violation> check_history(const history& events, const checker_options& options) {
   std::vector<violation> found;
   const auto rules = make_rules(options, found);
-  history sorted = events;
-  std::stable_sort(sorted.begin(), sorted.end(),
-                   [](const history_event& a, const history_event& b) {
-                     const bool a_end = a.kind == history_kind::task_stopped;
-                     const bool b_end = b.kind == history_kind::task_stopped;
-                     return std::make_pair(a.at_ms, !a_end) < std::make_pair(b.at_ms, !b_end);
-                   });
+  const history sorted = in_order(events);
   for (const history_event& e : sorted) {
     for (const auto& r : rules) {
       r->see(e);
--- a/src/history/testing/checker_test.cc
+++ b/src/history/testing/checker_test.cc
@@ -141,6 +141,16 @@
   must_flag(promise::finished_once, {started(50, "w1", "j/0")});
 }
 
+TEST_CASE("events of one millisecond keep each worker's own order") {
+  history h = good();
+  h.push_back(started(50, "w1", "k/0"));
+  h.push_back(stopped(50, "w1", "k/0", "stopped"));
+  h.push_back(started(50, "w2", "k/0"));
+  CHECK(broken(h).empty());
+  h.push_back(started(50, "w1", "k/0"));
+  CHECK(broken(h) == std::vector{promise::one_place});
+}
+
 TEST_CASE("within its bound nothing is flagged") {
   history h = good();
   history_event lowered = at(50, kind::limit_in_force);
--- a/src/platform_http/hosts_http.cc
+++ b/src/platform_http/hosts_http.cc
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr millis fetch_timeout{3'000};
+constexpr int not_modified = 304;
 
 worker_host read_worker(const nlohmann::json& item) {
   worker_host w;
@@ -48,9 +49,31 @@
   client_request request;
   request.url = this->url + "/hosts";
   request.timeout = fetch_timeout;
-  this->clients.send(std::move(request), nullptr, [done](const result<client_answer>& answer) {
-    done(read_json<host_snapshot>(answer, read_snapshot));
-  });
+  {
+    const std::lock_guard hold(this->known->lock);
+    if (!this->known->tag.empty()) {
+      request.headers.push_back({"If-None-Match", this->known->tag});
+    }
+  }
+  this->clients.send(std::move(request), nullptr,
+                     [done, known = this->known](const result<client_answer>& answer) {
+                       if (answer.has_value() && answer.value().status == not_modified) {
+                         host_snapshot same;
+                         {
+                           const std::lock_guard hold(known->lock);
+                           same = known->value;
+                         }
+                         done(std::move(same));
+                         return;
+                       }
+                       auto read = read_json<host_snapshot>(answer, read_snapshot);
+                       if (read.has_value()) {
+                         const std::lock_guard hold(known->lock);
+                         known->tag = answer.value().header("ETag");
+                         known->value = read.value();
+                       }
+                       done(std::move(read));
+                     });
 }
 
 }  // namespace monsoonmux
--- a/src/platform_http/hosts_http.h
+++ b/src/platform_http/hosts_http.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <memory>
+#include <mutex>
 #include <string>
 
 #include "http/client_pool.h"
@@ -7,7 +9,9 @@
 
 namespace monsoonmux {
 
-// The platform's list of hosts over HTTP; docs/PLATFORM.md gives the format.
+// The platform's list of hosts over HTTP; docs/PLATFORM.md gives the format. It
+// names the version that it has (If-None-Match), so an unchanged list costs a few
+// hundred bytes however many hosts there are.
 class hosts_http final : public host_list {
  public:
   hosts_http(client_pool& clients, std::string url) : clients(clients), url(std::move(url)) {}
@@ -17,6 +21,14 @@
  private:
   client_pool& clients;
   const std::string url;
+
+  struct known_list {
+    std::mutex lock;
+    std::string tag;
+    host_snapshot value;
+  };
+  // Shared with replies that may come after this object is gone.
+  std::shared_ptr<known_list> known = std::make_shared<known_list>();
 };
 
 }  // namespace monsoonmux
--- a/src/standin/main.cc
+++ b/src/standin/main.cc
@@ -97,7 +97,7 @@
     if (request.path.rfind("/log/", 0) == 0) {
       respond(this->log.handle(request));
     } else if (request.path == "/hosts") {
-      respond({200, "application/json", {}, this->hosts().dump()});
+      respond(this->hosts_answer(request));
     } else if (request.path.rfind("/workers/", 0) == 0) {
       this->handle_worker(request, respond);
     } else if (request.path.rfind("/faults/", 0) == 0) {
@@ -183,6 +183,15 @@
     r.leaving = value;
   }
 
+  http_response hosts_answer(const http_request& request) {
+    const std::string body = this->hosts().dump();
+    const std::string tag = std::to_string(std::hash<std::string>{}(body));
+    if (request.header("If-None-Match") == tag) {
+      return {304, "application/json", {{"ETag", tag}}, ""};
+    }
+    return {200, "application/json", {{"ETag", tag}}, body};
+  }
+
   json hosts() {
     const std::lock_guard hold(this->list_lock);
     const instant now = this->time.now();
