--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -23,6 +23,9 @@
   }
 };
 
+// An instant that no clock reaches.
+constexpr instant never{INT64_MAX};
+
 // The only source of time in the system. Leases are measured with now(), which
 // also advances while the host is suspended; wall_ms() is for people and for
 // key expiry.
--- a/src/control/domain_placer.h
+++ b/src/control/domain_placer.h
@@ -186,4 +186,17 @@
   instant last_hopeless;
 };
 
+template <class Action>
+void domain_placer::locked(Action action) {
+  outbox to_send;
+  {
+    const std::lock_guard hold(this->lock);
+    action(this->time.now());
+    to_send.swap(this->out);
+  }
+  for (const auto& send : to_send) {
+    send();
+  }
+}
+
 }  // namespace monsoonmux
--- /dev/null
+++ b/src/control/placer_recovery.cc
@@ -0,0 +1,144 @@
+// How a new placer learns what runs. The invariant is that it starts nothing
+// before every run that a predecessor can have started was reported, or can no
+// longer hold a lease; the fence read back tells that the log, too, is known to
+// its end. Asking the predecessor, the obvious way, fails when it is most needed.
+
+#include <algorithm>
+
+#include "control/domain_placer.h"
+
+namespace monsoonmux {
+namespace {
+
+// After the longest lease, for the last commands of a predecessor to arrive.
+constexpr millis settle{500};
+
+}  // namespace
+
+void domain_placer::sync_workers(instant now) {
+  auto self = this->shared_from_this();
+  const std::int64_t era = this->era;
+  for (auto& asked : this->links.due(now, this->right.number(), this->right.held_until(),
+                                     this->phase == placer_phase::recovering)) {
+    this->out.emplace_back([self, era, asked] {
+      self->port.sync(asked.worker, asked.request,
+                      [self, era, asked](const result<worker_report>& answer) {
+                        self->on_sync(asked, answer, era);
+                      });
+    });
+  }
+}
+
+void domain_placer::on_sync(const worker_links::sync& asked, const result<worker_report>& answer,
+                            std::int64_t era) {
+  this->locked([&](instant now) {
+    if (!this->active(era)) {
+      return;
+    }
+    if (answer.has_error()) {
+      this->links.on_failure(asked, now);
+      return;
+    }
+    this->links.on_report(asked, answer.value(), now);
+    if (this->phase == placer_phase::recovering) {
+      this->recovery_reports[asked.worker] = answer.value();
+    } else {
+      this->take_report(asked.worker, answer.value(), asked.sent, now);
+    }
+  });
+}
+
+// A worker may be used once its record is in the log: a successor that has read
+// the log then knows that it must hear from this worker.
+void domain_placer::introduce_workers() {
+  const std::set<worker_id> known = this->state.workers(this->domain);
+  for (auto& [id, link] : this->links.all()) {
+    link.introduced = known.count(id) != 0;
+    if (link.introduced || link.announced || !link.listed || !this->fenced) {
+      continue;
+    }
+    link.announced = true;
+    const worker_joined joined{id, this->domain};
+    this->out.emplace_back(
+        [self = this->shared_from_this(), joined] { self->writer.append(joined, never, nullptr); });
+  }
+}
+
+bool domain_placer::recovered(instant now) const {
+  const link_options& limits = this->links.limits();
+  const instant longest = this->links.lease_end(this->began + limits.command_bound) + settle;
+  if (now >= longest) {
+    return true;
+  }
+  if (!this->fenced) {
+    return false;
+  }
+  const auto heard = [&](const worker_id& id) {
+    const auto it = this->links.all().find(id);
+    return it != this->links.all().end() && it->second.heard >= this->began;
+  };
+  const std::set<worker_id> known = this->state.workers(this->domain);
+  return !this->links.all().empty() && std::all_of(known.begin(), known.end(), heard);
+}
+
+// The reports that came during recovery are complete: nobody else may start
+// anything since `began`, and commands of predecessors took effect before it.
+void domain_placer::finish_recovery(instant now) {
+  this->phase = placer_phase::placing;
+  this->update_terms();
+  this->state.changed_since(this->change_cursor);
+  this->state.each_open_job(this->domain, [&](const job& j) { this->load_job(j, now); });
+  this->update_workers(now);
+  for (const auto& [worker, report] : this->recovery_reports) {
+    for (const task_report& task : report.tasks) {
+      this->take_task(worker, task, now);
+    }
+  }
+  this->recovery_reports.clear();
+  for (auto& [id, job] : this->book.all()) {
+    for (auto& [index, task] : job.tasks) {
+      const bool lost = task.may_have_run && task.stage == task_stage::waiting;
+      task.may_have_run = false;
+      if (lost && !job.spec.idempotent) {
+        this->end_task(job, {id, index}, task, task_phase::failed);
+      }
+    }
+  }
+  this->emit("placer_ready", {{"jobs", std::to_string(this->book.size())},
+                              {"fenced", this->fenced ? "true" : "false"}});
+}
+
+void domain_placer::load_changes(instant now) {
+  const auto changed = this->state.changed_since(this->change_cursor);
+  if (!changed) {
+    this->state.each_open_job(this->domain, [&](const job& j) { this->load_job(j, now); });
+    return;
+  }
+  for (const job_id& id : *changed) {
+    if (const auto value = this->state.find_job(id); value && !value->finished()) {
+      this->load_job(*value, now);
+    }
+  }
+}
+
+void domain_placer::load_job(const job& value, instant now) {
+  const auto here = [&](const job_part& part) { return part.domain == this->domain; };
+  if (std::none_of(value.parts.begin(), value.parts.end(), here)) {
+    return;
+  }
+  job_entry& job = this->book.load(value, this->domain, now);
+  if (!job.cancelled) {
+    this->attention.insert(job.spec.id);
+    return;
+  }
+  for (const task_stop& s : this->schedule->cancel(job.spec.id, stop_reason::cancelled)) {
+    this->stop(s, now);
+  }
+  for (auto& [index, task] : job.tasks) {
+    if (task.stage == task_stage::waiting || task.stage == task_stage::queued) {
+      this->end_task(job, {job.spec.id, index}, task, task_phase::cancelled);
+    }
+  }
+}
+
+}  // namespace monsoonmux
--- /dev/null
+++ b/src/control/placer_reports.cc
@@ -0,0 +1,270 @@
+// What follows from workers' reports. A run is known by task, attempt and worker;
+// a report that fits no run known here is about a run that is not wanted, and is
+// stopped or acknowledged. Reports repeat until acknowledged, so every step here
+// may happen twice.
+
+#include <algorithm>
+
+#include "control/domain_placer.h"
+
+namespace monsoonmux {
+
+void domain_placer::take_report(const worker_id& worker, const worker_report& report, instant sent,
+                                instant now) {
+  for (const task_report& task : report.tasks) {
+    this->take_task(worker, task, now);
+  }
+  if (report.whole) {
+    this->take_missing(worker, report, sent, now);
+  } else {
+    this->ask_for_unsettled(worker, sent);
+  }
+}
+
+// A start whose answer was lost shows only in a whole report that it is missing.
+void domain_placer::ask_for_unsettled(const worker_id& worker, instant sent) {
+  const worker_index index = this->schedule->workers().find(worker);
+  worker_link* link = this->links.find(worker);
+  if (index == no_worker || link == nullptr) {
+    return;
+  }
+  for (const running_task* running : this->schedule->running().on_worker(index)) {
+    const task_entry* task = this->book.find(running->id);
+    const bool unsettled = task != nullptr && task->stage != task_stage::running &&
+                           sent > std::max(task->start_deadline, task->confirmed_at);
+    if (unsettled) {
+      link->report_number = 0;
+    }
+  }
+}
+
+void domain_placer::take_task(const worker_id& worker, const task_report& report, instant now) {
+  job_entry* job = this->job_of(worker, report, now);
+  if (job == nullptr) {
+    return;
+  }
+  const auto it = job->tasks.find(report.task.index);
+  if (it == job->tasks.end()) {
+    // Terminal in the log, or another domain's: this run is not wanted.
+    this->stop_unknown(worker, {report.task, report.attempt}, now);
+    return;
+  }
+  if (report.phase == report_phase::running) {
+    this->take_running(worker, report, *job, it->second, now);
+  } else {
+    this->take_end(worker, report, *job, it->second, now);
+  }
+}
+
+// The job that a report is about. A job that the log does not know is left alone
+// until the log was read past this placer's own fence; then its tasks go.
+job_entry* domain_placer::job_of(const worker_id& worker, const task_report& report, instant now) {
+  if (job_entry* known = this->book.find(report.task.job); known != nullptr) {
+    return known;
+  }
+  const auto in_log = this->state.find_job(report.task.job);
+  if (in_log && !in_log->finished()) {
+    this->load_job(*in_log, now);
+    if (job_entry* loaded = this->book.find(report.task.job); loaded != nullptr) {
+      return loaded;
+    }
+  }
+  if (in_log || this->fenced) {
+    this->stop_unknown(worker, {report.task, report.attempt}, now);
+    return nullptr;
+  }
+  return report.phase == report_phase::running ? &this->book.load_foreign(report, now) : nullptr;
+}
+
+// Ends a run that is not wanted, or acknowledges it if it has ended.
+void domain_placer::stop_unknown(const worker_id& worker, const task_run& run, instant now) {
+  this->acknowledge(worker, run);
+  this->send_stop(worker, run, false, now);
+}
+
+void domain_placer::acknowledge(const worker_id& worker, const task_run& run) {
+  if (worker_link* link = this->links.find(worker); link != nullptr) {
+    link->ended.insert(run);
+  }
+}
+
+void domain_placer::take_running(const worker_id& worker, const task_report& report, job_entry& job,
+                                 task_entry& task, instant now) {
+  const task_id& id = report.task;
+  if (!task.holds_worker() && task.stage != task_stage::ended &&
+      (task.may_have_run || job.foreign || task.attempt <= report.attempt)) {
+    this->adopt(worker, report, job, task, now);
+  }
+  if (!task.holds_worker() || task.worker != worker || task.attempt != report.attempt) {
+    this->emit("run_superseded", {{"task", id.text()}, {"worker", worker.text}});
+    this->stop_unknown(worker, {id, report.attempt}, now);
+    return;
+  }
+  if (task.stage == task_stage::starting) {
+    this->on_start({id, report.attempt}, BOOST_OUTCOME_V2_NAMESPACE::success(), now);
+  }
+  this->schedule->checkpointed(id, now - report.since_checkpoint);
+  if (!this->schedule->grow(id, report.usage) && task.stage == task_stage::running) {
+    this->stop({id, worker, stop_reason::oversized}, now);
+  }
+}
+
+// Takes over a run that a predecessor started.
+void domain_placer::adopt(const worker_id& worker, const task_report& report, job_entry& job,
+                          task_entry& task, instant now) {
+  if (task.stage == task_stage::queued) {
+    return;  // Cannot be: units are queued only after all reports were read.
+  }
+  const worker_link* link = this->links.find(worker);
+  if (this->schedule->workers().find(worker) == no_worker && link != nullptr) {
+    this->schedule->add_worker({worker, link->host.pool, link->host.rack, link->host.total});
+  }
+  task.stage = task_stage::running;
+  task.attempt = report.attempt;
+  task.worker = worker;
+  task.confirmed_at = now;
+  task.may_have_run = false;
+  task.started_ms = this->time.wall_ms() - report.age.value;
+  this->schedule->adopt(report.task, task_book::running_unit(job, report.task.index, now), worker,
+                        now - report.age);
+  this->emit("task_adopted", {{"task", report.task.text()}, {"worker", worker.text}});
+  if (job.cancelled) {
+    this->stop({report.task, worker, stop_reason::cancelled}, now);
+  }
+}
+
+void domain_placer::take_end(const worker_id& worker, const task_report& report, job_entry& job,
+                             task_entry& task, instant now) {
+  const task_run run{report.task, report.attempt};
+  if (task.stage == task_stage::ended) {
+    if (this->updates.count(report.task) == 0 && !this->flushing) {
+      this->acknowledge(worker, run);
+    }
+    return;
+  }
+  const bool present =
+      task.holds_worker() && task.worker == worker && task.attempt == report.attempt;
+  if (report.phase == report_phase::succeeded) {
+    this->take_success(worker, report, job, task, now);
+    return;
+  }
+  this->acknowledge(worker, run);
+  if (!present) {
+    if (!task.holds_worker()) {
+      task.attempt = std::max(task.attempt, report.attempt + 1);
+    }
+    return;
+  }
+  if (report.phase == report_phase::failed) {
+    this->take_failure(worker, report, job, task, now);
+  } else {
+    this->lose_run(job, report.task, task, now);
+  }
+}
+
+// The first success of any run counts, also of one that was given up for lost.
+void domain_placer::take_success(const worker_id& worker, const task_report& report, job_entry& job,
+                                 task_entry& task, instant now) {
+  const task_run run{report.task, report.attempt};
+  this->health.on_end(worker, job.spec.id, true, now);
+  if (job.spec.kind == work_kind::service && !job.cancelled) {
+    this->acknowledge(worker, run);
+    if (task.holds_worker() && task.worker == worker && task.attempt == report.attempt) {
+      this->run_again(job, report.task, task, this->options.restart_first, now);
+    }
+    return;
+  }
+  if (task.holds_worker() && (task.worker != worker || task.attempt != report.attempt)) {
+    this->send_stop(task.worker, run_of(report.task, task), false, now);
+  }
+  task.worker = worker;
+  task.attempt = report.attempt;
+  if (task.started_ms == 0) {
+    task.started_ms = this->time.wall_ms() - report.age.value;
+  }
+  this->acks.push_back({worker, run});
+  this->end_task(job, report.task, task, task_phase::succeeded);
+}
+
+int domain_placer::counted_failures(const task_entry& task) const {
+  return static_cast<int>(
+      std::count_if(task.failed_on.begin(), task.failed_on.end(),
+                    [&](const worker_id& w) { return !this->health.suspect(w); }));
+}
+
+void domain_placer::take_failure(const worker_id& worker, const task_report& report, job_entry& job,
+                                 task_entry& task, instant now) {
+  if (this->health.on_end(worker, job.spec.id, false, now)) {
+    this->emit("worker_aside", {{"worker", worker.text}});
+  }
+  task.failed_on.insert(worker);
+  this->emit("task_failed", {{"task", report.task.text()}, {"worker", worker.text}});
+  if (job.spec.kind == work_kind::service) {
+    const std::int64_t doublings = std::min(task.quick_ends++, 16);
+    const millis delay = std::min(this->options.restart_first * (std::int64_t{1} << doublings),
+                                  this->options.restart_most);
+    this->run_again(job, report.task, task, delay, now);
+  } else if (!job.spec.idempotent || this->counted_failures(task) >= job.spec.max_attempts) {
+    this->end_task(job, report.task, task, task_phase::failed);
+    this->break_gang(job, now);
+  } else {
+    this->run_again(job, report.task, task, this->options.restart_first, now);
+    this->break_gang(job, now);
+  }
+}
+
+// Tasks booked on the worker that its report does not list have ended there, or
+// never began, provided the report was asked for late enough to tell. Equal times
+// tell nothing: the clock counts whole milliseconds.
+void domain_placer::take_missing(const worker_id& worker, const worker_report& report, instant sent,
+                                 instant now) {
+  const worker_index index = this->schedule->workers().find(worker);
+  if (index == no_worker) {
+    return;
+  }
+  std::set<task_run> listed;
+  for (const task_report& task : report.tasks) {
+    listed.insert({task.task, task.attempt});
+  }
+  std::vector<task_id> here;
+  for (const running_task* task : this->schedule->running().on_worker(index)) {
+    here.push_back(task->id);
+  }
+  for (const task_id& id : here) {
+    job_entry* job = this->book.find(id.job);
+    task_entry* task = this->book.find(id);
+    if (job == nullptr || task == nullptr || listed.count(run_of(id, *task)) != 0) {
+      continue;
+    }
+    const bool never_began = task->stage == task_stage::starting && sent > task->start_deadline;
+    const bool gone = task->stage != task_stage::starting && sent > task->confirmed_at;
+    if (never_began || gone) {
+      this->lose_run(*job, id, *task, now);
+    }
+  }
+}
+
+void domain_placer::check_silent(instant now) {
+  for (const auto& [worker, link] : this->links.all()) {
+    if (link.missed < this->options.links.misses || now <= link.may_run_until) {
+      continue;
+    }
+    const worker_index index = this->schedule->workers().find(worker);
+    if (index == no_worker) {
+      continue;
+    }
+    std::vector<task_id> here;
+    for (const running_task* task : this->schedule->running().on_worker(index)) {
+      here.push_back(task->id);
+    }
+    for (const task_id& id : here) {
+      job_entry* job = this->book.find(id.job);
+      task_entry* task = this->book.find(id);
+      if (job != nullptr && task != nullptr) {
+        this->lose_run(*job, id, *task, now);
+      }
+    }
+  }
+}
+
+}  // namespace monsoonmux
--- a/src/control/task_book.h
+++ b/src/control/task_book.h
@@ -42,6 +42,11 @@
   }
 };
 
+// The present run of a task.
+inline task_run run_of(const task_id& id, const task_entry& task) {
+  return {id, task.attempt};
+}
+
 // A job as its placer sees it: the tasks of this domain's part.
 struct job_entry {
   job_spec spec;
--- a/src/control/testing/fake_cell.cc
+++ b/src/control/testing/fake_cell.cc
@@ -4,7 +4,6 @@
 namespace {
 
 constexpr millis tick_step{100};
-constexpr instant never{INT64_MAX};
 const std::string log_party = "log";
 
 // A daemon's way to the log: honours cuts and the daemon's pauses.
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -14,7 +14,6 @@
 constexpr millis placer_step{100};
 constexpr millis hosts_step{500};
 constexpr millis refresh_step{10'000};
-constexpr instant never{INT64_MAX};
 
 // A record is written again when it is this old, well before a retention of an
 // hour or more ends.
--- a/src/journal/testing/journal_test.cc
+++ b/src/journal/testing/journal_test.cc
@@ -7,8 +7,6 @@
 namespace monsoonmux {
 namespace {
 
-constexpr instant never{INT64_MAX};
-
 // A daemon's journal over a fake log.
 struct rig {
   explicit rig(fake_log& log, const std::string& name = "d", log_service* peer = nullptr)
--- a/src/place/fit.cc
+++ b/src/place/fit.cc
@@ -56,7 +56,6 @@
 }
 
 worker_index fit::spread(const pending_unit& unit, std::int32_t pool, const job_spread& job) const {
-  constexpr instant never{std::numeric_limits<std::int64_t>::max()};
   worker_index best = no_worker;
   auto lowest = std::make_tuple(std::numeric_limits<std::int32_t>::max(),
                                 std::numeric_limits<std::int32_t>::max(), 0.0);
