--- a/src/control/budget_desk.h
+++ b/src/control/budget_desk.h
@@ -5,22 +5,11 @@
 
 #include "base/ids.h"
 #include "base/resources.h"
+#include "state/budget_wish.h"
 #include "state/replica.h"
 
 namespace monsoonmux {
 
-// One domain asks the others for part of a team's upper limit.
-struct budget_wish {
-  team_id team;
-  domain_id to;
-  resources amount;
-
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(team, to, amount);
-  }
-};
-
 // One domain's side of the division of upper limits.
 //
 // What a placer may use of a team's limit is its allotment by the log less the
--- a/src/control/domain_placer.h
+++ b/src/control/domain_placer.h
@@ -126,6 +126,7 @@
   void stop_unknown(const worker_id& worker, const task_run& run, instant now);
   void acknowledge(const worker_id& worker, const task_run& run);
   int counted_failures(const task_entry& task) const;
+  std::vector<task_id> tasks_on(worker_index worker) const;
   void check_silent(instant now);
   void update_terms();
   void update_workers(instant now);
--- a/src/control/placer_reports.cc
+++ b/src/control/placer_reports.cc
@@ -226,11 +226,7 @@
   for (const task_report& task : report.tasks) {
     listed.insert({task.task, task.attempt});
   }
-  std::vector<task_id> here;
-  for (const running_task* task : this->schedule->running().on_worker(index)) {
-    here.push_back(task->id);
-  }
-  for (const task_id& id : here) {
+  for (const task_id& id : this->tasks_on(index)) {
     job_entry* job = this->book.find(id.job);
     task_entry* task = this->book.find(id);
     if (job == nullptr || task == nullptr || listed.count(run_of(id, *task)) != 0) {
@@ -244,6 +240,15 @@
   }
 }
 
+// A copy, since ending a run changes the list.
+std::vector<task_id> domain_placer::tasks_on(worker_index worker) const {
+  std::vector<task_id> out;
+  for (const running_task* task : this->schedule->running().on_worker(worker)) {
+    out.push_back(task->id);
+  }
+  return out;
+}
+
 void domain_placer::check_silent(instant now) {
   for (const auto& [worker, link] : this->links.all()) {
     if (link.missed < this->options.links.misses || now <= link.may_run_until) {
@@ -253,11 +258,7 @@
     if (index == no_worker) {
       continue;
     }
-    std::vector<task_id> here;
-    for (const running_task* task : this->schedule->running().on_worker(index)) {
-      here.push_back(task->id);
-    }
-    for (const task_id& id : here) {
+    for (const task_id& id : this->tasks_on(index)) {
       job_entry* job = this->book.find(id.job);
       task_entry* task = this->book.find(id);
       if (job != nullptr && task != nullptr) {
--- a/src/control/testing/fake_worker.h
+++ b/src/control/testing/fake_worker.h
@@ -133,27 +133,22 @@
     return this->honours_deadlines && not_after != no_deadline && this->clock_now() >= not_after;
   }
 
+  // Ends what is due, and looks again when the next lease or run ends.
   void expire() {
-    for (auto& [run, t] : this->tasks) {
-      if (t.phase != report_phase::running) {
-        continue;
-      }
-      if (t.ends <= this->now() && t.ends <= t.lease_until) {
-        this->end(run, t, t.fails ? report_phase::failed : report_phase::succeeded);
-      } else if (t.lease_until <= this->now()) {
-        this->end(run, t, report_phase::stopped);
-      } else if (t.lease_until > this->now()) {
+    for (const auto& [run, t] : this->tasks) {
+      const bool over = t.ends <= this->now() || t.lease_until <= this->now();
+      if (t.phase == report_phase::running && !over) {
         this->world.at(std::min(t.lease_until, t.ends), [this, boot = this->boot] {
           if (boot == this->boot && this->up) {
-            this->expire_quietly();
+            this->end_due();
           }
         });
       }
     }
+    this->end_due();
   }
 
-  // Like expire(), without planning the next look.
-  void expire_quietly() {
+  void end_due() {
     for (auto& [run, t] : this->tasks) {
       if (t.phase != report_phase::running) {
         continue;
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -209,7 +209,7 @@
       }
       for (const member& m : this->core.members.alive(now)) {
         if (m.id != this->core.config.daemon && !m.last.placing.empty()) {
-          this->send_to(m, budget_request{wish.team, wish.to, wish.amount});
+          this->send_to(m, wish);
         }
       }
     }
@@ -282,9 +282,9 @@
     this->core.follower.hint(beat->next);
   } else if (const auto* grant = std::get_if<slot_grant>(&message.body)) {
     this->core.slots.adopt(*grant);
-  } else if (const auto* wish = std::get_if<budget_request>(&message.body)) {
+  } else if (const auto* wish = std::get_if<budget_wish>(&message.body)) {
     for (const auto& placer : this->core.placers()) {
-      placer->on_wish({wish->team, wish->to, wish->amount});
+      placer->on_wish(*wish);
     }
   }
 }
--- a/src/wire/peer_message.h
+++ b/src/wire/peer_message.h
@@ -8,6 +8,7 @@
 #include "base/ids.h"
 #include "base/quantity.h"
 #include "base/resources.h"
+#include "state/budget_wish.h"
 
 namespace monsoonmux {
 
@@ -74,18 +75,6 @@
   }
 };
 
-// A domain lacks part of a team's upper limit.
-struct budget_request {
-  team_id team;
-  domain_id to;
-  resources amount;
-
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(team, to, amount);
-  }
-};
-
 // Asks over TCP for log entries from an offset on.
 struct log_pull {
   log_offset from;
@@ -118,7 +107,7 @@
   }
 };
 
-using peer_body = std::variant<heartbeat, slot_grant, budget_request, log_pull, log_pulled>;
+using peer_body = std::variant<heartbeat, slot_grant, budget_wish, log_pull, log_pulled>;
 
 struct peer_message {
   daemon_id sender;
--- a/tools/cell.sh
+++ b/tools/cell.sh
@@ -6,7 +6,7 @@
 #   cell_stop
 
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
-bin=$root/build/src
+bin=${MUX_BUILD:-$root/build}/src
 export operator_key=operators-secret
 mux() { "$bin/cli/monsoonmux" "$@"; }
 as_operator() { MONSOONMUX_KEY=$operator_key mux "$@"; }
