--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -20,6 +20,8 @@
 constexpr millis refresh_age{20 * 60'000};
 constexpr std::size_t refresh_batch = 64;
 constexpr std::int64_t keep_finished_ms = 24 * 3'600'000;
+constexpr std::int64_t foreign_beat = 10;
+constexpr std::int64_t greeting_beats = 4;
 constexpr millis quiet_before_stop{1'000};
 
 }  // namespace
@@ -185,10 +187,23 @@
 
 void node::beat(instant now) {
   const heartbeat own = this->make_heartbeat(now);
+  this->near_peers.clear();
+  for (const member& m : this->core.members.all(now)) {
+    if (m.last.domain == this->core.config.domain) {
+      this->near_peers.insert(m.last.peer);
+    }
+  }
   this->core.members.on_heartbeat(this->core.config.daemon, this->core.incarnation, own, now);
+  // A tenth is enough for other domains, and all that a peer of unknown domain
+  // gets until it answers; at the first beats everybody is told.
+  const bool to_all = this->beats < greeting_beats || this->beats % foreign_beat == 0;
+  ++this->beats;
+  heartbeat brief = own;
+  brief.held.clear();
   for (const endpoint& peer : this->core.config.peers) {
-    if (!(peer == this->core.config.peer)) {
-      this->link->send(peer, own);
+    const bool near = this->near_peers.count(peer.text()) != 0;
+    if (!(peer == this->core.config.peer) && (near || to_all)) {
+      this->link->send(peer, near ? own : brief);
     }
   }
 }
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -2,6 +2,8 @@
 
 #include <atomic>
 #include <functional>
+#include <set>
+#include <string>
 #include <thread>
 
 #include "daemon/node_core.h"
@@ -56,6 +58,8 @@
   std::unique_ptr<peer_link> link;
 
   // Used by the control thread alone.
+  std::set<std::string> near_peers;  // Peer addresses of this domain's daemons.
+  std::int64_t beats = 0;
   config_version applied_config{-1};
   std::shared_ptr<const host_snapshot> applied_hosts;
   instant next_placers;
--- a/src/daemon/node_core.cc
+++ b/src/daemon/node_core.cc
@@ -7,6 +7,9 @@
 
 constexpr int log_threads = 3;
 constexpr int worker_threads = 8;
+// Heartbeats that may be missed; daemons of other domains send every tenth.
+constexpr std::int64_t missed_beats = 5;
+constexpr std::int64_t foreign_missed_beats = 25;
 constexpr std::size_t max_waiting_requests = 10'000;
 
 placer_options placer_options_of(const settings& config) {
@@ -27,7 +30,8 @@
       log(this->log_clients, this->config.log.url()),
       host_list(this->log_clients, this->config.hosts.url()),
       workers(this->worker_clients, this->time),
-      members(membership_options{this->config.heartbeat * 5, millis{600'000}}),
+      members(membership_options{this->config.domain, this->config.heartbeat * missed_beats,
+                                 this->config.heartbeat * foreign_missed_beats, millis{600'000}}),
       writer(this->config.daemon, this->incarnation, this->log, this->state, this->time, {}),
       peer_source(this->members, this->time, this->config.daemon),
       follower(this->log, this->peer_source, this->state, this->time, this->events, {}),
--- a/src/member/membership.cc
+++ b/src/member/membership.cc
@@ -12,11 +12,16 @@
   m = {sender, incarnation, beat, now};
 }
 
+bool membership::is_alive(const member& m, instant now) const {
+  const bool foreign = m.last.domain != this->options.home;
+  return now - m.heard <= (foreign ? this->options.foreign_dead_after : this->options.dead_after);
+}
+
 std::vector<member> membership::alive(instant now) const {
   const std::lock_guard hold(this->lock);
   std::vector<member> out;
   for (const auto& [id, m] : this->members) {
-    if (now - m.heard <= this->options.dead_after) {
+    if (this->is_alive(m, now)) {
       out.push_back(m);
     }
   }
--- a/tools/cell.sh
+++ b/tools/cell.sh
@@ -97,8 +97,9 @@
 cell_await_placers() {
   local i n
   for i in $(seq 150); do
-    n=$(as_operator members --output json | grep -o '"places":\[[^]]*\]' | grep -o '"[a-z]*"' |
-      grep -v places | sort -u | wc -l)
+    # awk, since a grep that finds nothing would end a script under set -e.
+    n=$(as_operator members --output json | tr '{' '\n' |
+      awk -F'"places":' '/"places":\["/ {print $2}' | sort -u | wc -l)
     [ "$n" -ge 3 ] && return 0
     sleep 0.1
   done
