Slots of abandoned calls stay taken; a new daemon learns all peers at once

Cause 1 (found in review): a call given up at its deadline freed its slot while the runner could still work on it, so a runner could have more calls than slots. Now the slot stays taken for 2 s, and grants count that in. Shown by a test with four lost answers. A daemon now answers the first beat of a new incarnation with its own.

--- a/src/call/call_lane.cc
+++ b/src/call/call_lane.cc
@@ -72,6 +72,7 @@
     {
       const std::lock_guard hold(this->lock);
       const instant now = this->time.now();
+      this->release_abandoned(now);
       this->expire(now, out);
       found = this->next(now, d);
     }
@@ -85,6 +86,25 @@
   }
 }
 
+void call_lane::let_go(const dispatch& d, const result<runner_answer>& answer) {
+  if (answer.has_value() || answer.error().effect == verdict::not_run) {
+    this->slots.release(d.slots);
+    return;
+  }
+  const std::lock_guard hold(this->lock);
+  this->held_slots.push_back({this->time.now() + this->options.abandoned_hold, d.slots});
+}
+
+void call_lane::release_abandoned(instant now) {
+  std::erase_if(this->held_slots, [&](const abandoned& a) {
+    if (a.until > now) {
+      return false;
+    }
+    this->slots.release(a.slots);
+    return true;
+  });
+}
+
 void call_lane::expire(instant now, answers& out) {
   for (auto& [team, line] : this->lines) {
     std::erase_if(line.waiting, [&](const pending_ptr& p) {
@@ -193,7 +213,7 @@
 }
 
 void call_lane::finish(const dispatch& d, const result<runner_answer>& answer, double latency_ms) {
-  this->slots.release(d.slots);
+  this->let_go(d, answer);
   std::function<void()> tell;
   {
     const std::lock_guard hold(this->lock);
--- a/src/call/call_lane.h
+++ b/src/call/call_lane.h
@@ -16,9 +16,15 @@
 
 namespace monsoonmux {
 
+// By then a runner has ended a call whose caller went away.
+constexpr millis call_abandoned_hold{2'000};
+
 struct lane_options {
   millis first_try_least{250};  // An idempotent call is tried elsewhere after the
   int first_try_factor = 6;     // larger of this and this many smoothed latencies.
+  // A runner may go on with a call that was given up; its slot stays taken for
+  // this long.
+  millis abandoned_hold = call_abandoned_hold;
 };
 
 // How a call went, in numbers, for metrics.
@@ -85,6 +91,14 @@
   using answers = std::vector<std::function<void()>>;
 
   bool admit(const pending_ptr& p, std::int64_t most_waiting);
+  // Slots of a call that was given up, until its runner has surely ended it.
+  struct abandoned {
+    instant until;
+    std::vector<std::string> slots;
+  };
+
+  void let_go(const dispatch& d, const result<runner_answer>& answer);
+  void release_abandoned(instant now);
   void expire(instant now, answers& out);
   bool next(instant now, dispatch& out);
   bool choose(pending& p, team_line& line, instant now, dispatch& out);
@@ -106,6 +120,7 @@
   std::map<runner_id, runner_stats> stats;
   std::map<team_id, team_line> lines;
   retry_budget retries;
+  std::vector<abandoned> held_slots;
   lane_counts numbers;
 };
 
--- a/src/call/testing/call_lane_test.cc
+++ b/src/call/testing/call_lane_test.cc
@@ -112,6 +112,26 @@
   CHECK(r.answers["b"] == std::vector{verdict::may_have_run});
 }
 
+TEST_CASE("the slot of a call that was given up stays taken until its runner has ended it") {
+  rig r;
+  r.runners.script = std::deque<failure>(4, lost);
+  for (int i = 0; i < 4; ++i) {
+    r.submit("a" + std::to_string(i), "t", false);
+  }
+  r.run();
+  r.submit("b", "t", false);
+  CHECK(r.work.empty());
+  r.time.advance({999});
+  r.lane->pump();
+  CHECK(r.work.empty());
+  r.time.advance(call_abandoned_hold);
+  r.lane->pump();
+  CHECK(r.answers["b"] == std::vector{verdict::not_run});
+  r.submit("c", "t", false);
+  r.run();
+  CHECK(r.answers["c"] == std::vector{verdict::answered});
+}
+
 TEST_CASE("retries are bounded by the budget") {
   rig r;
   r.runners.script = std::deque<failure>(1'000, refused);
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -293,8 +293,14 @@
 void node::on_datagram(const peer_message& message) {
   const instant now = this->core.time.now();
   if (const auto* beat = std::get_if<heartbeat>(&message.body)) {
+    const auto known = this->core.members.find(message.sender);
     this->core.members.on_heartbeat(message.sender, message.incarnation, *beat, now);
     this->core.follower.hint(beat->next);
+    // One that just started would else know us only at our next beat to all.
+    const auto address = parse_endpoint(beat->peer);
+    if ((!known || known->incarnation != message.incarnation) && address.has_value()) {
+      this->link->send(address.value(), this->make_heartbeat(now));
+    }
   } else if (const auto* grant = std::get_if<slot_grant>(&message.body)) {
     this->core.slots.adopt(*grant);
   } else if (const auto* wish = std::get_if<budget_wish>(&message.body)) {
--- a/src/daemon/slot_grantor.cc
+++ b/src/daemon/slot_grantor.cc
@@ -28,7 +28,7 @@
       longest = std::max(longest, queue.deadline);
     }
   }
-  return longest;
+  return longest + call_abandoned_hold;
 }
 
 std::vector<slot_subject> slot_grantor::subjects(const domain_id& domain) const {
--- a/src/member/membership.h
+++ b/src/member/membership.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -34,7 +35,7 @@
 // Safe to call from any thread.
 class membership {
  public:
-  explicit membership(membership_options options) : options(options) {}
+  explicit membership(membership_options options) : options(std::move(options)) {}
 
   // Takes a heartbeat, unless it is of an earlier incarnation than one known.
   void on_heartbeat(const daemon_id& sender, std::int64_t incarnation, const heartbeat& beat,
