--- /dev/null
+++ b/src/async/testing/async_test.cc
@@ -0,0 +1,123 @@
+#include <unistd.h>
+
+#include <asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "async/counters.h"
+#include "async/event_log.h"
+#include "async/http_listener.h"
+#include "async/http_transport.h"
+
+namespace monsoonmux::cell {
+namespace {
+
+constexpr std::uint16_t test_port = 17'431;
+
+std::string read_all(int descriptor) {
+  std::string text(1 << 20, '\0');
+  const ssize_t size = ::read(descriptor, text.data(), text.size());
+  text.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+  return text;
+}
+
+TEST_CASE("Listener and transport exchange requests on one event loop") {
+  asio::io_context io;
+  listener_options options;
+  options.port = test_port;
+  http_listener listener(io, options, [](const http_request& request, const http_respond& respond) {
+    respond({.status = request.method == "POST" ? 200 : 410, .headers = {}, .body = request.body});
+  });
+  http_transport transport(io, {});
+  int answers = 0;
+  const std::string url = "http://127.0.0.1:" + std::to_string(test_port) + "/x";
+  for (int i = 0; i < 20; ++i) {
+    transport.send({.method = i % 2 == 0 ? "POST" : "GET", .url = url, .body = std::to_string(i)},
+                   [&, i](result<client_answer> answer) {
+                     REQUIRE(answer.has_value());
+                     CHECK(answer.value().status == (i % 2 == 0 ? 200 : 410));
+                     if (i % 2 == 0) {
+                       CHECK(answer.value().body == std::to_string(i));
+                     }
+                     if (++answers == 20) {
+                       io.stop();
+                     }
+                   });
+  }
+  io.run_for(std::chrono::seconds(10));
+  CHECK(answers == 20);
+  CHECK(transport.connections_opened() <= 4);
+}
+
+TEST_CASE("A request to a port without a listener did not run") {
+  asio::io_context io;
+  http_transport transport(io, {});
+  bool failed = false;
+  transport.send({.method = "GET", .url = "http://127.0.0.1:1/x"},
+                 [&](result<client_answer> answer) {
+                   REQUIRE(answer.has_error());
+                   failed = answer.error().effect == verdict::not_run;
+                   io.stop();
+                 });
+  io.run_for(std::chrono::seconds(10));
+  CHECK(failed);
+}
+
+TEST_CASE("A request that nobody answers ends with its timeout and may have run") {
+  asio::io_context io;
+  listener_options options;
+  options.port = test_port + 1;
+  std::vector<http_respond> kept;
+  http_listener listener(io, options, [&kept](const http_request&, http_respond respond) {
+    kept.push_back(std::move(respond));
+  });
+  http_transport transport(io, {});
+  bool ended = false;
+  client_request request{.method = "GET",
+                         .url = "http://127.0.0.1:" + std::to_string(test_port + 1) + "/"};
+  request.timeout = millis{50};
+  transport.send(request, [&](result<client_answer> answer) {
+    REQUIRE(answer.has_error());
+    CHECK(answer.error().effect == verdict::may_have_run);
+    ended = true;
+    io.stop();
+  });
+  io.run_for(std::chrono::seconds(10));
+  CHECK(ended);
+}
+
+TEST_CASE("The log never blocks, and says how many lines it dropped") {
+  int pipe_ends[2];
+  REQUIRE(pipe(pipe_ends) == 0);
+  fake_clock time;
+  event_log_options options;
+  options.buffer_bytes = 4'000;
+  event_log log(pipe_ends[1], time, "d1", options);
+  for (int i = 0; i < 3'000; ++i) {
+    log.write("tick", {{"i", i}});
+  }
+  CHECK(log.dropped() > 0);
+  while (read_all(pipe_ends[0]).size() > 60'000) {
+    log.flush();
+  }
+  log.flush();
+  log.write("after", {});
+  const std::string text = read_all(pipe_ends[0]);
+  const auto last = text.rfind('\n', text.size() - 2);
+  const auto line = nlohmann::json::parse(text.substr(last + 1));
+  CHECK(line["event"] == "after");
+  CHECK(line["lines_dropped"] == log.dropped());
+}
+
+TEST_CASE("Histogram buckets are cumulative") {
+  counters c;
+  c.observe("wait", millis{1});
+  c.observe("wait", millis{100'000});
+  const std::string text = c.text();
+  CHECK(text.find("monsoonmux_wait_ms_bucket{le=\"1\"} 1\n") != std::string::npos);
+  CHECK(text.find("monsoonmux_wait_ms_bucket{le=\"+Inf\"} 2\n") != std::string::npos);
+  CHECK(text.find("monsoonmux_wait_ms_sum 100001\n") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/advice_desk.cc
@@ -0,0 +1,57 @@
+#include "cell/advice_desk.h"
+
+#include <algorithm>
+
+namespace monsoonmux::cell {
+namespace {
+
+// More than a call should take before it counts as unanswered.
+constexpr millis call_margin{600};
+
+}  // namespace
+
+advice_desk::advice_desk(advice_port& service, const clock& now) : port(service), time(now) {}
+
+advice_desk::~advice_desk() { *this->alive = false; }
+
+void advice_desk::ask(request r) {
+  this->waiting.push_back(std::move(r));
+  this->next();
+}
+
+millis advice_desk::backlog() const {
+  millis sum{0};
+  if (this->busy) {
+    sum = std::max(millis{0}, this->busy_until - this->time.now());
+  }
+  for (const request& r : this->waiting) {
+    sum += r.expected;
+  }
+  return sum;
+}
+
+void advice_desk::next() {
+  if (this->busy || this->waiting.empty()) {
+    return;
+  }
+  request r = std::move(this->waiting.front());
+  this->waiting.pop_front();
+  this->busy = true;
+  this->busy_until = this->time.now() + r.expected;
+  this->port.advise(r.step, r.runners, r.expected + call_margin,
+                    [this, on_answer = std::move(r.on_answer),
+                     a = this->alive](result<std::vector<ticket>> answer) {
+                      if (!*a) {
+                        return;
+                      }
+                      this->busy = false;
+                      if (answer.has_value()) {
+                        on_answer(true, answer.value());
+                      } else {
+                        on_answer(false, {});
+                      }
+                      this->next();
+                    });
+}
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/advice_desk.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "cell/advice_port.h"
+
+namespace monsoonmux::cell {
+
+// Asks the advice service on behalf of the owner, one call at a time: the service
+// handles the calls of one host in turn, so a second call would only wait there.
+class advice_desk {
+ public:
+  struct request {
+    std::string step;
+    std::vector<std::string> runners;
+    millis expected;  // Duration of the call.
+    std::function<void(bool answered, const std::vector<ticket>&)> on_answer;
+  };
+
+  advice_desk(advice_port& port, const clock& time);
+  ~advice_desk();
+  advice_desk(const advice_desk&) = delete;
+  advice_desk& operator=(const advice_desk&) = delete;
+
+  void ask(request r);
+  // Time until a new request would begin.
+  millis backlog() const;
+
+ private:
+  void next();
+
+  advice_port& port;
+  const clock& time;
+  std::deque<request> waiting;
+  bool busy = false;
+  instant busy_until{0};
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/advice_dispatcher.cc
@@ -0,0 +1,116 @@
+#include "cell/advice_dispatcher.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace monsoonmux::cell {
+
+advice_dispatcher::advice_dispatcher(peer_link& peers_link, advice_desk& desk, const clock& now,
+                                     event_log& out, daemon_id name, on_advice to,
+                                     const dispatcher_options& given)
+    : link(peers_link),
+      own_desk(desk),
+      time(now),
+      events(out),
+      self(std::move(name)),
+      deliver(std::move(to)),
+      options(given) {
+  this->peers[this->self.text].heard = never;
+}
+
+advice_dispatcher::peer* advice_dispatcher::least_busy(std::string& name) {
+  const instant now = this->time.now();
+  peer* best = nullptr;
+  for (auto& [id, p] : this->peers) {
+    const bool here = id == this->self.text || now - p.heard < this->options.peer_silence;
+    if (!here || p.avoid_until > now || p.busy_until - now > this->options.most_backlog) {
+      continue;
+    }
+    if (best == nullptr || p.busy_until < best->busy_until) {
+      best = &p;
+      name = id;
+    }
+  }
+  return best;
+}
+
+bool advice_dispatcher::ask(const advice_wish& wish) {
+  std::string name;
+  peer* const chosen = this->least_busy(name);
+  if (chosen == nullptr) {
+    return false;
+  }
+  const instant now = this->time.now();
+  const millis expected{std::llround(
+      wish.terms.decide_ms + wish.terms.per_runner_ms * static_cast<double>(wish.runners.size()))};
+  chosen->busy_until = std::max(chosen->busy_until, now) + expected;
+  const std::int64_t number = this->next_number++;
+  this->open.emplace(number,
+                     question{wish, name, chosen->busy_until + this->options.answer_margin});
+  if (name == this->self.text) {
+    this->own_desk.ask({wish.step.text(), wish.runners, expected,
+                        [this, number, a = std::weak_ptr<bool>(this->alive)](
+                            bool answered, const std::vector<ticket>& tickets) {
+                          if (!a.expired()) {
+                            this->settle(number, answered, tickets);
+                          }
+                        }});
+    return true;
+  }
+  peer_message message;
+  message.kind = peer_kind::advice_request;
+  message.sender = this->self.text;
+  message.request = number;
+  message.step = wish.step.text();
+  message.expected_ms = expected.value;
+  message.runners = wish.runners;
+  this->link.send(message, chosen->endpoint);
+  return true;
+}
+
+void advice_dispatcher::heard(const peer_message& message, const peer_endpoint& from) {
+  if (message.kind == peer_kind::hello) {
+    peer& p = this->peers[message.sender];
+    p.endpoint = from;
+    p.heard = this->time.now();
+    return;
+  }
+  if (message.kind == peer_kind::advice_answer) {
+    std::vector<ticket> tickets;
+    for (const peer_ticket& t : message.tickets) {
+      tickets.push_back({t.runner, t.text});
+    }
+    this->settle(message.request, message.answered, tickets);
+  }
+}
+
+void advice_dispatcher::settle(std::int64_t number, bool answered,
+                               const std::vector<ticket>& tickets) {
+  const auto it = this->open.find(number);
+  if (it == this->open.end()) {
+    return;  // Given up before.
+  }
+  const question q = std::move(it->second);
+  this->open.erase(it);
+  this->deliver(q.wish.step, q.wish.runners, answered, tickets);
+}
+
+void advice_dispatcher::tick() {
+  const instant now = this->time.now();
+  std::vector<std::int64_t> over;
+  for (const auto& [number, q] : this->open) {
+    if (q.give_up <= now) {
+      over.push_back(number);
+    }
+  }
+  for (const std::int64_t number : over) {
+    const question& q = this->open.at(number);
+    this->events.write("advice_unanswered", {{"step", q.wish.step.text()}, {"daemon", q.peer}});
+    peer& p = this->peers[q.peer];
+    p.avoid_until = now + this->options.penalty;
+    p.busy_until = now;
+    this->settle(number, false, {});
+  }
+}
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/advice_dispatcher.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "async/event_log.h"
+#include "base/clock.h"
+#include "cell/advice_desk.h"
+#include "cell/peer_link.h"
+#include "decide/placer.h"
+
+namespace monsoonmux::cell {
+
+struct dispatcher_options {
+  // A daemon that was not heard for this long is not asked.
+  millis peer_silence{1'200};
+  // Work of this length may wait at one daemon; more stays with the owner, where
+  // its order can still change.
+  millis most_backlog{250};
+  millis answer_margin{700};  // Beyond the expected duration.
+  millis penalty{2'000};      // For a daemon that did not answer.
+};
+
+// Spreads the owner's questions to the advice service over all daemons, since the
+// service serves each host's calls one after the other.
+class advice_dispatcher {
+ public:
+  using on_advice = std::function<void(const step_ref&, const std::vector<std::string>& asked,
+                                       bool answered, const std::vector<ticket>&)>;
+
+  advice_dispatcher(peer_link& link, advice_desk& own_desk, const clock& time, event_log& events,
+                    daemon_id self, on_advice deliver, const dispatcher_options& options = {});
+
+  // False if every daemon has enough to do; the wish may be made again later.
+  bool ask(const advice_wish& wish);
+  void heard(const peer_message& message, const peer_endpoint& from);
+  void tick();
+
+ private:
+  struct peer {
+    peer_endpoint endpoint;
+    instant heard{0};
+    instant busy_until{0};
+    instant avoid_until{0};
+  };
+  struct question {
+    advice_wish wish;
+    std::string peer;
+    instant give_up;
+  };
+
+  peer* least_busy(std::string& name);
+  void settle(std::int64_t number, bool answered, const std::vector<ticket>& tickets);
+
+  peer_link& link;
+  advice_desk& own_desk;
+  const clock& time;
+  event_log& events;
+  const daemon_id self;
+  const on_advice deliver;
+  const dispatcher_options options;
+  std::map<std::string, peer> peers;
+  std::map<std::int64_t, question> open;
+  std::int64_t next_number = 1;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/cell_daemon.cc
@@ -0,0 +1,258 @@
+#include "cell/cell_daemon.h"
+
+#include <asio/post.hpp>
+
+namespace monsoonmux::cell {
+namespace {
+
+ownership_options complete(ownership_options o, const daemon_options& d) {
+  o.self = d.self;
+  o.peer_address = d.address;
+  o.peer_port = d.peer_port;
+  return o;
+}
+
+}  // namespace
+
+cell_daemon::cell_daemon(asio::io_context& loop, const daemon_ports& given, const clock& now,
+                         event_log& out, counters& counted, const daemon_options& chosen)
+    : io(loop),
+      ports(given),
+      time(now),
+      events(out),
+      metrics(counted),
+      options(chosen),
+      writer(loop, given.log, now),
+      front(this->writer, now, out, counted),
+      advice(given.advice, now),
+      peers(loop, out, chosen.address, chosen.peer_port,
+            [this](const peer_message& m, const peer_endpoint& from) { this->peer_said(m, from); }),
+      config_feed(loop, given.log, now, out, given.sources.config_topic(), {},
+                  {[this](const logged_record& r) { this->config_record(r); }, [] {}, {}}),
+      work_feed(loop, given.log, now, out, work_topic, {},
+                {[this](const logged_record& r) { this->work_record(r); },
+                 [this] {
+                   this->front.feed(&this->book, [this] { return this->work_feed.last_contact(); });
+                   this->finish_takeover();
+                 },
+                 {}}),
+      claim(loop, given.log, now, out, complete(chosen.ownership, chosen),
+            {[this](epoch at) { this->gained(at); },
+             [this](const std::string& why) { this->lost(why); }}),
+      hello(loop),
+      retire(loop) {}
+
+cell_daemon::~cell_daemon() { *this->alive = false; }
+
+void cell_daemon::start() {
+  this->config_feed.start();
+  this->work_feed.start();
+  this->claim.start();
+  this->say_hello();
+}
+
+bool cell_daemon::ready() const {
+  return !this->draining && this->front.configured() && this->work_feed.loaded() &&
+         this->time.now() - this->work_feed.last_contact() < this->options.unready_after;
+}
+
+void cell_daemon::drain(std::function<void()> on_resigned) {
+  this->draining = true;
+  const bool was_owner = this->claim.owner();
+  this->claim.resign(std::move(on_resigned));
+  if (was_owner) {
+    this->lost("stopping");
+  }
+}
+
+void cell_daemon::config_record(const logged_record& record) {
+  if (record.record.key != this->ports.sources.config_key() || record.record.value.empty()) {
+    return;
+  }
+  auto config = this->ports.sources.read_config(record.record.value);
+  if (config.has_error()) {
+    this->events.write("config_unreadable",
+                       {{"offset", record.offset}, {"why", config.error().detail}});
+    return;
+  }
+  if (this->front.configured() &&
+      config.value().version <= this->front.config().version) {
+    return;
+  }
+  this->events.write("config_in_force", {{"version", config.value().version.value},
+                                         {"queues", config.value().queues.size()},
+                                         {"tenants", config.value().tenants.size()}});
+  this->front.configure(std::move(config.value()));
+  if (this->orders && this->orders->active()) {
+    this->orders->configure(this->front.config());
+  }
+  this->finish_takeover();
+}
+
+void cell_daemon::work_record(const logged_record& record) {
+  const book_change change = this->book.apply(record.record);
+  if (change == book_change::unreadable) {
+    this->events.write("record_unreadable", {{"offset", record.offset}, {"key", record.record.key}});
+    return;
+  }
+  if (this->orders && this->orders->active()) {
+    const auto key = parse_key(record.record.key);
+    if (change == book_change::submitted) {
+      this->orders->submitted(*this->book.find(key->job));
+    } else if (change == book_change::cancelled) {
+      this->orders->cancelled(key->job);
+    }
+  }
+  if (this->fenced_at >= 0 && record.offset + 1 >= this->fenced_at) {
+    // Not from inside the follower, which has not moved its position yet.
+    asio::post(this->io, [this, a = this->alive] {
+      if (*a) {
+        this->finish_takeover();
+      }
+    });
+  }
+}
+
+void cell_daemon::gained(epoch at) {
+  this->events.write("owner_gained", {{"epoch", at.value}});
+  this->metrics.count("owner_gained");
+  this->owned = at;
+  this->fenced_at = -1;
+  this->begin_ownership();
+}
+
+void cell_daemon::begin_ownership() {
+  const owner_services services{this->io,   this->ports.log, this->ports.runners, this->peers,
+                                this->advice, this->time,    this->events,        this->metrics};
+  this->orders = std::make_unique<owner>(
+      services, this->options.self, this->owned, this->options.owner,
+      [this] { return this->claim.may_order(); },
+      [this](const std::string& why) {
+        asio::post(this->io, [this, why, a = this->alive] {
+          if (*a) {
+            this->claim.lose(why);
+          }
+        });
+      });
+  this->orders->fence([this](std::int64_t end) {
+    this->fenced_at = end;
+    this->finish_takeover();
+  });
+}
+
+// Goes on with a takeover as soon as the log was read up to the fence and there is
+// a configuration.
+void cell_daemon::finish_takeover() {
+  if (!this->orders || this->orders->active() || this->fenced_at < 0 ||
+      !this->front.configured() || !this->work_feed.loaded() ||
+      this->work_feed.position() < this->fenced_at) {
+    return;
+  }
+  this->orders->take_over(this->book, this->front.config());
+  this->runners_seen.clear();
+  this->runners_known.clear();
+  follower_options pace;
+  pace.min_interval = this->options.discovery_interval;
+  this->runner_feed = std::make_unique<log_follower>(
+      this->io, this->ports.log, this->time, this->events, this->ports.sources.runner_topic(), pace,
+      log_follower::handlers{[this](const logged_record& r) { this->runner_record(r); },
+                             [this] { this->runners_loaded(); },
+                             [this] { this->runners_seen.clear(); }});
+  this->runner_feed->start();
+}
+
+void cell_daemon::runner_record(const logged_record& record) {
+  if (!this->orders) {
+    return;
+  }
+  const std::string& id = record.record.key;
+  if (record.record.value.empty()) {
+    this->runners_known.erase(id);
+    this->orders->runner_unlisted(id);
+    return;
+  }
+  const auto entry = this->ports.sources.read_runner(id, record.record.value);
+  if (entry.has_error()) {
+    this->events.write("runner_entry_unreadable", {{"runner", id}, {"why", entry.error().detail}});
+    return;
+  }
+  this->runners_seen.insert(id);
+  this->runners_known.insert(id);
+  this->orders->runner_listed(entry.value());
+}
+
+void cell_daemon::runners_loaded() {
+  if (!this->orders) {
+    return;
+  }
+  std::vector<std::string> gone;
+  for (const std::string& id : this->runners_known) {
+    if (!this->runners_seen.contains(id)) {
+      gone.push_back(id);
+    }
+  }
+  for (const std::string& id : gone) {
+    this->runners_known.erase(id);
+    this->orders->runner_unlisted(id);
+  }
+}
+
+void cell_daemon::lost(const std::string& why) {
+  this->events.write("owner_lost", {{"epoch", this->owned.value}, {"why", why}});
+  this->metrics.count("owner_lost");
+  this->fenced_at = -1;
+  // Destroyed from the loop: this may be called from inside of them.
+  this->retired = std::move(this->orders);
+  this->retired_feed = std::move(this->runner_feed);
+  this->retire.start(millis{0}, [this] {
+    this->retired.reset();
+    this->retired_feed.reset();
+  });
+}
+
+void cell_daemon::say_hello() {
+  this->hello.start(this->options.hello_every, [this] { this->say_hello(); });
+  const auto& owner = this->claim.newest();
+  if (!owner || owner->resigned || this->claim.owner()) {
+    return;
+  }
+  asio::error_code error;
+  const auto address = asio::ip::make_address(owner->peer_address, error);
+  if (error) {
+    this->events.write("owner_address_unreadable", {{"address", owner->peer_address}});
+    return;
+  }
+  peer_message message;
+  message.kind = peer_kind::hello;
+  message.sender = this->options.self.text;
+  message.backlog_ms = this->advice.backlog().value;
+  this->peers.send(message, {address, owner->peer_port});
+}
+
+void cell_daemon::peer_said(const peer_message& message, const peer_endpoint& from) {
+  if (message.kind == peer_kind::advice_request) {
+    this->advise(message, from);
+    return;
+  }
+  if (this->orders) {
+    this->orders->heard(message, from);
+  }
+}
+
+void cell_daemon::advise(const peer_message& request, const peer_endpoint& from) {
+  this->advice.ask({request.step, request.runners, millis{request.expected_ms},
+                    [this, number = request.request, from](bool answered,
+                                                           const std::vector<ticket>& tickets) {
+                      peer_message answer;
+                      answer.kind = peer_kind::advice_answer;
+                      answer.sender = this->options.self.text;
+                      answer.request = number;
+                      answer.answered = answered;
+                      for (const ticket& t : tickets) {
+                        answer.tickets.push_back({t.runner, t.text});
+                      }
+                      this->peers.send(answer, from);
+                    }});
+}
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/cell_daemon.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "async/counters.h"
+#include "async/event_log.h"
+#include "cell/advice_desk.h"
+#include "cell/cell_sources.h"
+#include "cell/job_desk.h"
+#include "cell/log_follower.h"
+#include "cell/owner.h"
+#include "cell/ownership.h"
+#include "cell/peer_link.h"
+#include "cell/submission_writer.h"
+
+namespace monsoonmux::cell {
+
+struct daemon_options {
+  daemon_id self;
+  std::string address;          // Of this host, for its peers.
+  std::uint16_t peer_port = 0;
+  owner_options owner;
+  ownership_options ownership;  // self, peer_address and peer_port are filled in.
+  millis hello_every{400};      // To the owner.
+  // Without an answer of the log for this long, new connections should go to
+  // other daemons.
+  millis unready_after{1'800};
+  millis discovery_interval{250};  // Between two reads of the runners' list.
+};
+
+// What a daemon gets from the platform.
+struct daemon_ports {
+  shared_log& log;
+  runner_port& runners;
+  advice_port& advice;
+  const cell_sources& sources;
+};
+
+// One daemon: follows the configuration and the jobs, serves callers, asks for
+// advice when the owner wants it, and is the owner itself when its claim wins.
+class cell_daemon {
+ public:
+  cell_daemon(asio::io_context& io, const daemon_ports& ports, const clock& time,
+              event_log& events, counters& metrics, const daemon_options& options);
+  ~cell_daemon();
+  cell_daemon(const cell_daemon&) = delete;
+  cell_daemon& operator=(const cell_daemon&) = delete;
+
+  void start();
+  job_desk& desk() { return this->front; }
+  // True if callers are served well here.
+  bool ready() const;
+  // Gives ownership away and reports itself as not ready.
+  void drain(std::function<void()> on_resigned);
+
+ private:
+  void config_record(const logged_record& record);
+  void work_record(const logged_record& record);
+  void runner_record(const logged_record& record);
+  void runners_loaded();
+  void gained(epoch at);
+  void lost(const std::string& why);
+  void begin_ownership();
+  void finish_takeover();
+  void say_hello();
+  void peer_said(const peer_message& message, const peer_endpoint& from);
+  void advise(const peer_message& request, const peer_endpoint& from);
+
+  asio::io_context& io;
+  daemon_ports ports;
+  const clock& time;
+  event_log& events;
+  counters& metrics;
+  const daemon_options options;
+  submission_writer writer;
+  job_desk front;
+  job_book book;
+  advice_desk advice;
+  peer_link peers;
+  log_follower config_feed;
+  log_follower work_feed;
+  ownership claim;
+  std::unique_ptr<log_follower> runner_feed;
+  std::unique_ptr<owner> orders;
+  std::set<std::string> runners_seen;    // Since the list was last loaded.
+  std::set<std::string> runners_known;
+  epoch owned{0};
+  std::int64_t fenced_at = -1;  // End of the log at our fence; -1: not fenced yet.
+  timer hello;
+  timer retire;
+  std::unique_ptr<owner> retired;
+  std::unique_ptr<log_follower> retired_feed;
+  bool draining = false;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/job_desk.cc
@@ -0,0 +1,135 @@
+#include "cell/job_desk.h"
+
+namespace monsoonmux::cell {
+
+job_desk::job_desk(submission_writer& target, const clock& now, event_log& out,
+                   counters& counted, const desk_options& given)
+    : writer(target), time(now), events(out), metrics(counted), options(given) {}
+
+void job_desk::configure(cell_config config) {
+  this->current = std::move(config);
+  this->is_configured = true;
+}
+
+void job_desk::feed(const job_book* from, std::function<instant()> contact) {
+  this->book = from;
+  this->book_contact = std::move(contact);
+}
+
+bool job_desk::book_is_fresh() const {
+  return this->book != nullptr &&
+         this->time.now() - this->book_contact() < this->options.book_age;
+}
+
+result<caller> job_desk::identify(const std::string& host, const std::string& path,
+                                  const std::string& key) const {
+  if (!this->is_configured) {
+    return not_run(error_code::unavailable, "no configuration yet");
+  }
+  const queue_config* const queue = this->current.match(host, path);
+  if (queue == nullptr) {
+    return not_run(error_code::not_found, "no such queue");
+  }
+  const tenant_config* const tenant = this->current.tenant_of_key(key);
+  if (tenant == nullptr && !queue->open) {
+    return not_run(error_code::unauthorized, "unknown key");
+  }
+  return caller{queue, tenant != nullptr && !queue->open ? tenant->name : team_id()};
+}
+
+failure job_desk::fate_failure(write_fate fate) const {
+  if (fate == write_fate::unknown) {
+    return may_have_run(error_code::deadline_exceeded, "the log did not answer");
+  }
+  return not_run(error_code::unavailable, "the log takes no records");
+}
+
+void job_desk::submit(const caller& from, const job_id& job, job_spec spec, instant deadline,
+                      reply<void> on_answer) {
+  if (const auto valid = validate(spec); valid.has_error()) {
+    on_answer(valid.error());
+    return;
+  }
+  const job_record* const known = this->book != nullptr ? this->book->find(job) : nullptr;
+  if (known != nullptr && known->submission) {
+    on_answer(BOOST_OUTCOME_V2_NAMESPACE::success());
+    return;
+  }
+  job_submission submission;
+  submission.job = job;
+  submission.queue = from.queue->name;
+  submission.service = from.queue->service;
+  submission.tenant = from.tenant;
+  submission.accepted_ms = this->time.wall_ms();
+  submission.spec = std::move(spec);
+  const instant since = this->time.now();
+  this->writer.write(
+      {key_of(record_kind::submission, job), encode(submission)}, deadline,
+      [this, job, since, queue = from.queue->name, on_answer](write_fate fate) {
+        const millis taken = this->time.now() - since;
+        this->metrics.observe("accept", taken);
+        if (fate == write_fate::stored) {
+          this->events.write("job_accepted", {{"job", job.text},
+                                              {"queue", queue.text},
+                                              {"took_ms", taken.value}});
+          on_answer(BOOST_OUTCOME_V2_NAMESPACE::success());
+          return;
+        }
+        const failure f = this->fate_failure(fate);
+        this->metrics.count(f.effect == verdict::not_run ? "jobs_refused" : "jobs_unknown");
+        this->events.write("job_not_accepted", {{"job", job.text},
+                                                {"verdict", to_string(f.effect)},
+                                                {"why", f.detail},
+                                                {"took_ms", taken.value}});
+        on_answer(f);
+      });
+}
+
+result<std::optional<job_phase>> job_desk::phase_of(const job_id& job) const {
+  const job_record* const record = this->book != nullptr ? this->book->find(job) : nullptr;
+  if (record != nullptr && record->submission) {
+    return std::optional<job_phase>(record->phase());
+  }
+  if (!this->book_is_fresh()) {
+    return not_run(error_code::unavailable, "not up to date with the log");
+  }
+  return std::optional<job_phase>();
+}
+
+void job_desk::cancel(const job_id& job, instant deadline, reply<bool> on_answer) {
+  const auto phase = this->phase_of(job);
+  if (phase.has_error()) {
+    on_answer(phase.error());
+    return;
+  }
+  if (!phase.value()) {
+    on_answer(false);
+    return;
+  }
+  if (is_final(*phase.value())) {
+    on_answer(true);
+    return;
+  }
+  this->writer.write({key_of(record_kind::cancellation, job), std::string(1, '1')}, deadline,
+                     [this, job, on_answer](write_fate fate) {
+                       if (fate == write_fate::stored) {
+                         this->events.write("cancel_accepted", {{"job", job.text}});
+                         on_answer(true);
+                         return;
+                       }
+                       const failure f = this->fate_failure(fate);
+                       this->events.write("cancel_not_accepted", {{"job", job.text},
+                                                                  {"verdict", to_string(f.effect)},
+                                                                  {"why", f.detail}});
+                       on_answer(f);
+                     });
+}
+
+result<std::int64_t> job_desk::pending(const caller& from) const {
+  if (this->book == nullptr) {
+    return not_run(error_code::unavailable, "not up to date with the log");
+  }
+  return this->book->pending(from.queue->name);
+}
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/log_follower.cc
@@ -0,0 +1,119 @@
+#include "cell/log_follower.h"
+
+#include <algorithm>
+
+namespace monsoonmux::cell {
+
+log_follower::log_follower(asio::io_context& io, shared_log& source, const clock& now,
+                           event_log& out, std::string name, const follower_options& given,
+                           handlers callbacks)
+    : log(source),
+      time(now),
+      events(out),
+      topic(std::move(name)),
+      options(given),
+      on(std::move(callbacks)),
+      next_try(io) {}
+
+log_follower::~log_follower() { *this->alive = false; }
+
+void log_follower::start() {
+  this->first_page = true;
+  if (this->on.on_loading) {
+    this->on.on_loading();
+  }
+  this->load({});
+}
+
+void log_follower::load(const std::string& after_key) {
+  this->log.newest(this->topic, after_key,
+                   [this, after_key, a = this->alive](result<newest_answer> answer) {
+                     if (!*a) {
+                       return;
+                     }
+                     if (answer.has_error()) {
+                       this->failed(answer.error());
+                       this->next_try.start(this->options.retry,
+                                            [this, after_key] { this->load(after_key); });
+                       return;
+                     }
+                     this->note_contact();
+                     this->loaded_page(answer.value());
+                   });
+}
+
+void log_follower::loaded_page(const newest_answer& page) {
+  if (this->first_page) {
+    // Later pages may hold newer records than this end; reading from here on
+    // delivers what changed while the pages were read.
+    this->load_end = page.end;
+    this->first_page = false;
+  }
+  for (const logged_record& record : page.records) {
+    this->on.on_record(record);
+  }
+  if (page.has_more && !page.records.empty()) {
+    this->load(page.records.back().record.key);
+    return;
+  }
+  this->next = this->load_end;
+  this->is_loaded = true;
+  this->events.write("log_loaded", {{"topic", this->topic}, {"next", this->next}});
+  this->on.on_loaded();
+  this->read();
+}
+
+void log_follower::read() {
+  this->read_started = this->time.now();
+  this->log.read(this->topic, this->next, this->options.wait,
+                 [this, a = this->alive](result<read_answer> answer) {
+                   if (!*a) {
+                     return;
+                   }
+                   if (answer.has_error()) {
+                     this->failed(answer.error());
+                     this->next_try.start(this->options.retry, [this] { this->read(); });
+                     return;
+                   }
+                   this->note_contact();
+                   this->read_answered(answer.value());
+                 });
+}
+
+void log_follower::read_answered(const read_answer& answer) {
+  if (answer.history_dropped) {
+    this->events.write("log_history_dropped", {{"topic", this->topic}, {"next", this->next}});
+    this->start();
+    return;
+  }
+  for (const logged_record& record : answer.records) {
+    this->on.on_record(record);
+  }
+  this->next = std::max(this->next, answer.next);
+  this->schedule_read();
+}
+
+void log_follower::schedule_read() {
+  const millis since = this->time.now() - this->read_started;
+  if (since < this->options.min_interval) {
+    this->next_try.start(this->options.min_interval - since, [this] { this->read(); });
+    return;
+  }
+  this->read();
+}
+
+void log_follower::note_contact() {
+  if (this->failures > 0) {
+    this->events.write("log_regained", {{"topic", this->topic}, {"failed", this->failures}});
+  }
+  this->failures = 0;
+  this->contact = this->time.now();
+}
+
+void log_follower::failed(const failure& why) {
+  if (++this->failures == 1) {
+    this->events.write("log_lost", {{"topic", this->topic}, {"why", why.detail}});
+  }
+}
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/owner.cc
@@ -0,0 +1,441 @@
+#include "cell/owner.h"
+
+#include <asio/post.hpp>
+
+#include <algorithm>
+
+namespace monsoonmux::cell {
+namespace {
+
+// A lease may last this much longer than asked for, on a slow clock.
+constexpr double slow_clock_factor = 1.03;
+constexpr millis inherited_margin{1'000};
+// After advice that did not come.
+constexpr millis advice_retry{150};
+// A ticket counts as valid this much shorter than it is, for its way here.
+constexpr millis ticket_travel{60};
+
+}  // namespace
+
+owner::owner(const owner_services& given, daemon_id name, epoch under, const owner_options& chosen,
+             std::function<bool()> may, std::function<void(const std::string&)> over)
+    : services(given),
+      self(std::move(name)),
+      at(under),
+      options(chosen),
+      may_order(std::move(may)),
+      on_over(std::move(over)),
+      planner(this->state, chosen.placement),
+      writer(
+          given.io, given.log, given.events, under,
+          [this](const job_id& job) { return this->progress_record(job); },
+          [this] { this->on_over("fenced in the log"); }),
+      dispatcher(given.peers, given.advice, given.time, given.events, this->self,
+                 [this](const step_ref& step, const std::vector<std::string>& asked, bool answered,
+                        const std::vector<ticket>& tickets) {
+                   this->advised(step, asked, answered, tickets);
+                 }),
+      plan_timer(given.io),
+      ticker(given.io) {
+  const auto longest_lease = static_cast<std::int64_t>(
+      static_cast<double>(chosen.session.hold_max.value) * slow_clock_factor);
+  this->inherited_until = given.time.now() + chosen.former_orders + millis{longest_lease} +
+                          inherited_margin;
+}
+
+owner::~owner() = default;
+
+void owner::fence(std::function<void(std::int64_t)> on_fenced) {
+  this->writer.fence(std::move(on_fenced));
+}
+
+void owner::take_over(const job_book& book, const cell_config& config) {
+  this->state.config = config;
+  this->is_active = true;
+  for (const auto& [id, record] : book.jobs()) {
+    this->adopt(record);
+  }
+  this->services.events.write("took_over",
+                              {{"epoch", this->at.value}, {"open_jobs", this->state.jobs.size()}});
+  this->tick();
+}
+
+void owner::adopt(const job_record& record) {
+  if (!record.submission || record.settled() || record.submission->spec.steps.empty()) {
+    return;
+  }
+  const job_id id = record.submission->job;
+  live_job job(*record.submission, record.progress, this->attempts_of(*record.submission),
+               this->services.time.now());
+  live_job& kept = this->state.jobs.emplace(id, std::move(job)).first->second;
+  for (auto& [number, occurrence] : kept.occurrences()) {
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      for (std::size_t t = 0; t < occurrence.steps[s].tasks.size(); ++t) {
+        const task_ref task{{id, number, static_cast<std::int32_t>(s)},
+                            static_cast<std::int32_t>(t)};
+        this->adopt_run(kept, task, occurrence.steps[s].tasks[t]);
+      }
+    }
+  }
+  if (record.cancelled && !is_final(kept.phase())) {
+    kept.cancel();
+    this->writer.write(id);
+  }
+  if (is_final(kept.phase())) {
+    this->stop_runs(kept);
+    this->forget_if_over(id);
+  }
+}
+
+void owner::adopt_run(live_job& job, const task_ref& task, const live_task& t) {
+  if (t.phase != task_phase::placed) {
+    return;
+  }
+  const step_spec& shape = job.spec().steps[static_cast<std::size_t>(task.in.step)];
+  resources reserved = shape.need;
+  if (shape.fills) {
+    reserved.cpu = millicores{0};
+  }
+  const team_id& tenant = job.submission().tenant;
+  this->state.runners.add(
+      t.runner, {task, t.run, tenant, reserved, shape.need, shape.fills, shape.serves()});
+  this->state.tenants.add(tenant, shape.need);
+  this->session_of(t.runner).recover({task, t.run}, t.runner_born);
+}
+
+std::int32_t owner::attempts_of(const job_submission& submission) const {
+  const queue_config* const queue = this->state.config.find_queue(submission.queue);
+  return queue != nullptr ? queue->max_attempts : 1;
+}
+
+runner_session& owner::session_of(const std::string& runner) {
+  auto& session = this->sessions[runner];
+  if (!session) {
+    session = std::make_unique<runner_session>(
+        this->services.io, this->services.runners, this->services.time, this->services.events,
+        *this, runner, this->at, this->inherited_until, this->options.session);
+  }
+  return *session;
+}
+
+void owner::configure(const cell_config& config) {
+  this->state.config = config;
+  this->request_plan();
+}
+
+void owner::submitted(const job_record& record) {
+  if (!this->is_active || this->state.jobs.contains(record.submission->job)) {
+    return;
+  }
+  this->adopt(record);
+  this->request_plan();
+}
+
+void owner::cancelled(const job_id& id) {
+  const auto it = this->state.jobs.find(id);
+  if (!this->is_active || it == this->state.jobs.end() || is_final(it->second.phase())) {
+    return;
+  }
+  it->second.cancel();
+  this->services.events.write("job_cancelled", {{"job", id.text}});
+  this->writer.write(id);
+  this->stop_runs(it->second);
+  this->forget_if_over(id);
+}
+
+void owner::stop_runs(const live_job& job) {
+  for (auto& [runner, run_state] : this->state.runners.all()) {
+    for (const auto& [key, resident] : run_state.residents) {
+      if (key.task.in.job == job.submission().job) {
+        this->session_of(runner).stop(key);
+      }
+    }
+  }
+}
+
+void owner::runner_listed(const runner_entry& entry) {
+  runner_state* const before = this->state.runners.find(entry.id);
+  const bool was_draining = before != nullptr && before->entry.draining;
+  const bool other_life = before != nullptr && before->entry.born != entry.born;
+  runner_state& now = this->state.runners.update(entry);
+  if (other_life) {
+    now.admitted = false;
+  }
+  if (entry.draining && !was_draining) {
+    this->services.events.write("runner_draining", {{"runner", entry.id}});
+  }
+  this->session_of(entry.id).update(entry);
+}
+
+void owner::runner_unlisted(const std::string& id) {
+  this->services.events.write("runner_unlisted", {{"runner", id}});
+  this->state.runners.mark_unlisted(id);
+  const auto it = this->sessions.find(id);
+  if (it != this->sessions.end()) {
+    it->second->unlist();
+  }
+}
+
+void owner::runner_admitted(const std::string& id, std::int64_t born) {
+  if (runner_state* const runner = this->state.runners.find(id)) {
+    runner->admitted = true;
+    runner->entry.born = born;
+  }
+  this->request_plan();
+}
+
+void owner::runner_silent(const std::string& id) {
+  if (runner_state* const runner = this->state.runners.find(id)) {
+    runner->admitted = false;
+  }
+}
+
+bool owner::free_room(const std::string& runner, const run_key& run) {
+  runner_state* const r = this->state.runners.find(runner);
+  if (r == nullptr) {
+    return false;
+  }
+  const auto it = r->residents.find(run);
+  if (it == r->residents.end()) {
+    return false;
+  }
+  this->state.tenants.remove(it->second.tenant, it->second.counted);
+  return this->state.runners.remove(runner, run);
+}
+
+void owner::run_ended(const std::string& runner, const run_key& run, run_end how,
+                      const std::string& checkpoint, std::int64_t number) {
+  this->settle_end(runner, run, how, checkpoint);
+  const auto stored = [this, runner, number] {
+    const auto it = this->sessions.find(runner);
+    if (it != this->sessions.end()) {
+      it->second->ends_stored(number);
+    }
+  };
+  if (this->state.jobs.contains(run.task.in.job)) {
+    this->writer.write(run.task.in.job, stored);
+  } else {
+    asio::post(this->services.io, [stored, a = std::weak_ptr<bool>(this->alive)] {
+      if (!a.expired()) {
+        stored();
+      }
+    });
+  }
+}
+
+void owner::run_gone(const std::string& runner, const run_key& run, std::string_view why) {
+  this->services.events.write("run_gone", {{"task", run.task.text()},
+                                           {"run", run.run},
+                                           {"runner", runner},
+                                           {"why", why}});
+  this->services.metrics.count("runs_gone");
+  this->settle_end(runner, run, run_end::lost, {});
+  if (this->state.jobs.contains(run.task.in.job)) {
+    this->writer.write(run.task.in.job);
+  }
+}
+
+void owner::settle_end(const std::string& runner, const run_key& run, run_end how,
+                       const std::string& checkpoint) {
+  this->free_room(runner, run);
+  this->request_plan();
+  const auto it = this->state.jobs.find(run.task.in.job);
+  if (it == this->state.jobs.end()) {
+    return;
+  }
+  live_job& job = it->second;
+  const live_task* const task = job.find(run.task);
+  const instant placed_at = task != nullptr ? task->placed_at : instant{0};
+  const end_effect effect = job.finish(run.task, run.run, how, checkpoint);
+  if (!effect.counted) {
+    this->forget_if_over(run.task.in.job);
+    return;
+  }
+  if (how == run_end::done || how == run_end::failed) {
+    this->state.runners.note_end(runner, how == run_end::failed, this->services.time.now());
+  }
+  if (how == run_end::done) {
+    this->state.run_times.note(job.submission().queue, this->services.time.now() - placed_at);
+  } else {
+    this->services.events.write("run_ended", {{"task", run.task.text()},
+                                              {"run", run.run},
+                                              {"runner", runner},
+                                              {"how", to_string(how)}});
+  }
+  this->services.metrics.count("runs_ended");
+  this->after_end(job, run, how, effect);
+}
+
+void owner::after_end(live_job& job, const run_key& run, run_end how, const end_effect& effect) {
+  const step_spec& shape = job.spec().steps[static_cast<std::size_t>(run.task.in.step)];
+  if (shape.gang && how != run_end::done) {
+    this->stop_gang(job, run);
+  }
+  if (!effect.job_final) {
+    if (is_final(job.phase())) {
+      this->forget_if_over(run.task.in.job);
+    }
+    return;
+  }
+  this->services.events.write("job_over", {{"job", run.task.in.job.text},
+                                           {"phase", to_string(job.phase())}});
+  this->services.metrics.count("jobs_over");
+  if (job.phase() != job_phase::completed) {
+    this->stop_runs(job);
+  }
+  this->forget_if_over(run.task.in.job);
+}
+
+void owner::stop_gang(live_job& job, const run_key& run) {
+  const auto it = job.occurrences().find(run.task.in.occurrence);
+  if (it == job.occurrences().end()) {
+    return;
+  }
+  const auto& members = it->second.steps[static_cast<std::size_t>(run.task.in.step)].tasks;
+  for (std::size_t i = 0; i < members.size(); ++i) {
+    if (members[i].phase == task_phase::placed) {
+      this->session_of(members[i].runner)
+          .stop({{run.task.in, static_cast<std::int32_t>(i)}, members[i].run});
+    }
+  }
+}
+
+void owner::forget_if_over(const job_id& id) {
+  const auto it = this->state.jobs.find(id);
+  if (it == this->state.jobs.end() || !is_final(it->second.phase()) ||
+      it->second.has_placed_tasks()) {
+    return;
+  }
+  this->state.advice.forget(id);
+  this->writer.write(id, [this, id] {
+    const auto over = this->state.jobs.find(id);
+    if (over != this->state.jobs.end() && !over->second.has_placed_tasks()) {
+      this->state.jobs.erase(over);
+    }
+  });
+}
+
+void owner::checkpoint_seen(const std::string&, const run_key& run,
+                            const std::string& checkpoint) {
+  const auto it = this->state.jobs.find(run.task.in.job);
+  if (it == this->state.jobs.end()) {
+    return;
+  }
+  live_task* const task = it->second.find(run.task);
+  if (task != nullptr && task->phase == task_phase::placed && task->run == run.run) {
+    task->checkpoint = checkpoint;
+  }
+}
+
+void owner::ticket_refused(const std::string& runner, const run_key& run) {
+  this->state.advice.drop_ticket(run.task.in, runner);
+}
+
+void owner::token_refused(const std::string& runner) {
+  this->on_over("runner " + runner + " has seen a higher token");
+}
+
+void owner::heard(const peer_message& message, const peer_endpoint& from) {
+  this->dispatcher.heard(message, from);
+}
+
+void owner::advised(const step_ref& step, const std::vector<std::string>& asked, bool answered,
+                    const std::vector<ticket>& tickets) {
+  const auto it = this->state.jobs.find(step.job);
+  if (it == this->state.jobs.end()) {
+    return;
+  }
+  const instant now = this->services.time.now();
+  const queue_config* const queue = this->state.config.find_queue(it->second.submission().queue);
+  if (!answered || queue == nullptr || !queue->advice) {
+    advice_book::step_advice& advice = this->state.advice.of(step);
+    advice.asking = false;
+    advice.retry_at = now + advice_retry;
+    return;
+  }
+  this->state.advice.answer(step, asked, tickets, now + queue->advice->valid - ticket_travel);
+  this->request_plan();
+}
+
+void owner::tick() {
+  this->ticker.start(this->options.tick, [this] { this->tick(); });
+  this->dispatcher.tick();
+  if (!this->may_order()) {
+    return;  // A successor may already count on this owner's silence.
+  }
+  for (auto& [id, session] : this->sessions) {
+    session->tick();
+  }
+  this->request_plan();
+}
+
+void owner::request_plan() {
+  if (this->is_active && !this->plan_timer.pending()) {
+    this->plan_timer.start(this->options.plan_delay, [this] { this->make_plan(); });
+  }
+}
+
+void owner::make_plan() {
+  const instant now = this->services.time.now();
+  const std::int64_t wall_ms = this->services.time.wall_ms();
+  for (auto& [id, job] : this->state.jobs) {
+    if (!is_final(job.phase())) {
+      job.open_due(wall_ms);
+    }
+  }
+  const plan decided = this->planner.decide(now, wall_ms);
+  std::map<job_id, std::vector<placement>> by_job;
+  for (const placement& p : decided.placements) {
+    by_job[p.task.in.job].push_back(p);
+  }
+  for (auto& [job, starts] : by_job) {
+    this->services.events.write("placed", {{"job", job.text},
+                                           {"step", starts.front().task.in.text()},
+                                           {"tasks", starts.size()},
+                                           {"first_runner", starts.front().runner},
+                                           {"waiting_tasks", decided.waiting_tasks}});
+    this->writer.write(job, [this, starts = std::move(starts)] { this->send_starts(starts); });
+  }
+  for (const advice_wish& wish : decided.wishes) {
+    if (!this->dispatcher.ask(wish)) {
+      break;
+    }
+    this->state.advice.of(wish.step).asking = true;
+  }
+  this->services.metrics.gauge("waiting_tasks", decided.waiting_tasks);
+  this->services.metrics.gauge("open_jobs", static_cast<std::int64_t>(this->state.jobs.size()));
+}
+
+void owner::send_starts(const std::vector<placement>& starts) {
+  const instant now = this->services.time.now();
+  for (const placement& p : starts) {
+    const auto it = this->state.jobs.find(p.task.in.job);
+    const live_task* const task =
+        it == this->state.jobs.end() ? nullptr : it->second.find(p.task);
+    const run_key run{p.task, p.run};
+    const bool wanted = task != nullptr && task->phase == task_phase::placed &&
+                        task->run == p.run && !is_final(it->second.phase()) && this->may_order();
+    if (!wanted) {
+      this->run_gone(p.runner, run, "no_longer_wanted");
+      continue;
+    }
+    // A newer ticket may have come since; the log may have been slow.
+    const std::string ticket = this->state.advice.ticket_for(p.task.in, p.runner, now);
+    if (!p.ticket.empty() && ticket.empty()) {
+      this->run_gone(p.runner, run, "ticket_expired_before_start");
+      continue;
+    }
+    this->services.metrics.count("starts_sent");
+    this->session_of(p.runner).start(run, it->second.spec().payload, ticket, p.checkpoint);
+  }
+}
+
+keyed_record owner::progress_record(const job_id& id) const {
+  const auto it = this->state.jobs.find(id);
+  if (it == this->state.jobs.end()) {
+    return {};
+  }
+  return {key_of(record_kind::progress, id), encode(it->second.progress(this->at))};
+}
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/owner.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "async/counters.h"
+#include "async/event_log.h"
+#include "base/clock.h"
+#include "cell/advice_dispatcher.h"
+#include "cell/progress_writer.h"
+#include "cell/runner_session.h"
+#include "decide/job_book.h"
+#include "decide/placer.h"
+
+namespace monsoonmux::cell {
+
+struct owner_options {
+  session_options session;
+  placer_options placement;
+  // How long a former owner may have gone on giving orders.
+  millis former_orders{12'000};
+  millis plan_delay{2};  // Changes within this time are planned for together.
+  millis tick{50};
+  millis stop_grace{900};
+};
+
+// What a daemon needs to act as the owner: services that it shares with its other
+// parts.
+struct owner_services {
+  asio::io_context& io;
+  shared_log& log;
+  runner_port& runners;
+  peer_link& peers;
+  advice_desk& advice;
+  const clock& time;
+  event_log& events;
+  counters& metrics;
+};
+
+// Runs all open jobs under one epoch.
+//
+// It takes over in this order: shut out former owners in the log, read the log to
+// its end, look at every runner under the new token, adopt what runs, place. A
+// start is sent only after the log has it, so a former owner that still runs can
+// start nothing that this one does not know.
+class owner final : public session_events {
+ public:
+  owner(const owner_services& services, daemon_id self, epoch at, const owner_options& options,
+        std::function<bool()> may_order, std::function<void(const std::string&)> on_over);
+  ~owner() override;
+
+  // First of all; `on_fenced` gets the end of the log.
+  void fence(std::function<void(std::int64_t)> on_fenced);
+  // The book holds all records up to the fence.
+  void take_over(const job_book& book, const cell_config& config);
+  bool active() const { return this->is_active; }
+
+  void configure(const cell_config& config);
+  void submitted(const job_record& record);
+  void cancelled(const job_id& job);
+  void runner_listed(const runner_entry& entry);
+  void runner_unlisted(const std::string& id);
+  void heard(const peer_message& message, const peer_endpoint& from);
+
+ private:
+  void runner_admitted(const std::string& runner, std::int64_t born) override;
+  void runner_silent(const std::string& runner) override;
+  void run_ended(const std::string& runner, const run_key& run, run_end how,
+                 const std::string& checkpoint, std::int64_t number) override;
+  void run_gone(const std::string& runner, const run_key& run, std::string_view why) override;
+  void checkpoint_seen(const std::string& runner, const run_key& run,
+                       const std::string& checkpoint) override;
+  void ticket_refused(const std::string& runner, const run_key& run) override;
+  void token_refused(const std::string& runner) override;
+
+  void tick();
+  void request_plan();
+  void make_plan();
+  void send_starts(const std::vector<placement>& starts);
+  void adopt(const job_record& record);
+  void adopt_run(live_job& job, const task_ref& task, const live_task& t);
+  bool free_room(const std::string& runner, const run_key& run);
+  void settle_end(const std::string& runner, const run_key& run, run_end how,
+                  const std::string& checkpoint);
+  void after_end(live_job& job, const run_key& run, run_end how, const end_effect& effect);
+  void stop_runs(const live_job& job);
+  void stop_gang(live_job& job, const run_key& run);
+  void forget_if_over(const job_id& job);
+  void advised(const step_ref& step, const std::vector<std::string>& asked, bool answered,
+               const std::vector<ticket>& tickets);
+  runner_session& session_of(const std::string& runner);
+  keyed_record progress_record(const job_id& job) const;
+  std::int32_t attempts_of(const job_submission& submission) const;
+
+  owner_services services;
+  const daemon_id self;
+  const epoch at;
+  const owner_options options;
+  const std::function<bool()> may_order;
+  const std::function<void(const std::string&)> on_over;
+  cell_state state;
+  placer planner;
+  progress_writer writer;
+  advice_dispatcher dispatcher;
+  timer plan_timer;
+  timer ticker;
+  std::map<std::string, std::unique_ptr<runner_session>> sessions;
+  instant inherited_until;
+  bool is_active = false;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/ownership.cc
@@ -0,0 +1,175 @@
+#include "cell/ownership.h"
+
+#include <xxhash.h>
+
+#include <random>
+
+namespace monsoonmux::cell {
+namespace {
+
+constexpr millis tick_every{100};
+// A resigned owner is followed without the usual silence.
+constexpr millis resigned_silence{0};
+// The first owner of a cell claims once the others had time to start as well.
+constexpr millis first_silence{100};
+
+std::uint64_t random_nonce() {
+  std::random_device source;
+  return (static_cast<std::uint64_t>(source()) << 32U) | source();
+}
+
+}  // namespace
+
+ownership::ownership(asio::io_context& io, shared_log& target, const clock& now, event_log& out,
+                     const ownership_options& given, handlers callbacks)
+    : log(target),
+      time(now),
+      events(out),
+      options(given),
+      on(std::move(callbacks)),
+      nonce(random_nonce()),
+      follower(io, target, now, out, owner_topic, {},
+               {[this](const logged_record& record) { this->on_record(record); },
+                [this] { this->heard = this->time.now(); },
+                {}}),
+      ticker(io) {}
+
+ownership::~ownership() { *this->alive = false; }
+
+void ownership::start() {
+  this->heard = this->time.now();
+  this->follower.start();
+  this->tick();
+}
+
+bool ownership::may_order() const {
+  return this->is_owner && this->time.now() - this->renewed < this->options.orders_after_renewal;
+}
+
+void ownership::on_record(const logged_record& record) {
+  if (record.record.key != owner_key) {
+    return;
+  }
+  const auto seen = decode_claim(record.record.value);
+  if (!seen) {
+    this->events.write("claim_unreadable", {{"offset", record.offset}});
+    return;
+  }
+  if (record.offset + 1 < this->end) {
+    return;
+  }
+  this->end = record.offset + 1;
+  this->claim = seen;
+  this->heard = this->time.now();
+  const bool mine = seen->nonce == this->nonce;
+  if (mine && !this->is_owner && !seen->resigned && !this->stopping) {
+    // A claim whose answer was lost.
+    this->is_owner = true;
+    this->renewed = this->renewal_sent;
+    this->on.on_gained(seen->owner_epoch);
+  } else if (!mine && this->is_owner) {
+    this->lose("claimed by " + seen->owner.text);
+  }
+}
+
+void ownership::lose(const std::string& why) {
+  if (this->is_owner) {
+    this->is_owner = false;
+    this->heard = this->time.now();
+    this->on.on_lost(why);
+  }
+}
+
+void ownership::tick() {
+  this->ticker.start(tick_every, [this] { this->tick(); });
+  const instant now = this->time.now();
+  if (this->follower.failed_reads() > 0 || !this->follower.loaded()) {
+    // Silence counts only while the log would show a renewal.
+    this->heard = now;
+  }
+  if (this->in_flight || !this->follower.loaded() || this->stopping) {
+    return;
+  }
+  if (this->is_owner) {
+    if (now - this->renewal_sent >= this->options.renew_every) {
+      this->renew();
+    }
+    return;
+  }
+  if (now - this->heard >= this->claim_delay()) {
+    this->claim_next();
+  }
+}
+
+millis ownership::claim_delay() const {
+  const std::string seed =
+      this->options.self.text + std::to_string(this->claim ? this->claim->owner_epoch.value : 0);
+  const millis turn{static_cast<std::int64_t>(
+      XXH64(seed.data(), seed.size(), 0) % static_cast<std::uint64_t>(this->options.stagger.value))};
+  if (!this->claim) {
+    return first_silence + turn;
+  }
+  return (this->claim->resigned ? resigned_silence : this->options.claim_after) + turn;
+}
+
+void ownership::renew() {
+  owner_claim next = *this->claim;
+  this->renewal_sent = this->time.now();
+  this->append_claim(next, [this, sent = this->renewal_sent](const append_answer& answer) {
+    if (answer.status == append_status::done) {
+      this->renewed = sent;
+      this->end = std::max(this->end, answer.end);
+    }
+    // Otherwise the topic itself shows who owns; the next tick tries again.
+  });
+}
+
+void ownership::claim_next() {
+  owner_claim next;
+  next.owner_epoch = epoch{this->claim ? this->claim->owner_epoch.value + 1 : 1};
+  next.owner = this->options.self;
+  next.nonce = this->nonce;
+  next.peer_address = this->options.peer_address;
+  next.peer_port = this->options.peer_port;
+  this->renewal_sent = this->time.now();
+  this->append_claim(next, [this, next, sent = this->renewal_sent](const append_answer& answer) {
+    if (answer.status != append_status::done || this->is_owner) {
+      return;
+    }
+    this->claim = next;
+    this->end = std::max(this->end, answer.end);
+    this->is_owner = true;
+    this->renewed = sent;
+    this->on.on_gained(next.owner_epoch);
+  });
+}
+
+void ownership::append_claim(owner_claim next,
+                             std::function<void(const append_answer&)> on_answer) {
+  append_request request;
+  request.topic = owner_topic;
+  request.records.push_back({owner_key, encode(next)});
+  request.expected_end = this->end;
+  this->in_flight = true;
+  this->log.append(std::move(request),
+                   [this, on_answer = std::move(on_answer), a = this->alive](append_answer answer) {
+                     if (*a) {
+                       this->in_flight = false;
+                       on_answer(answer);
+                     }
+                   });
+}
+
+void ownership::resign(std::function<void()> on_done) {
+  this->stopping = true;
+  if (!this->is_owner) {
+    on_done();
+    return;
+  }
+  this->is_owner = false;
+  owner_claim next = *this->claim;
+  next.resigned = true;
+  this->append_claim(next, [on_done = std::move(on_done)](const append_answer&) { on_done(); });
+}
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/ownership.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "async/event_log.h"
+#include "base/clock.h"
+#include "cell/log_follower.h"
+#include "cell/shared_log.h"
+#include "cell/timer.h"
+#include "cell/topics.h"
+
+namespace monsoonmux::cell {
+
+struct ownership_options {
+  daemon_id self;
+  std::string peer_address;
+  std::uint16_t peer_port = 0;
+  millis renew_every{500};
+  // Silence of the owner, in a log that answers, after which others claim.
+  millis claim_after{1'800};
+  // Candidates spread over this time, so that one claim meets no other.
+  millis stagger{500};
+  // After its last renewal an owner gives orders no longer than this. Its
+  // successor counts on it for runners that it cannot reach.
+  millis orders_after_renewal{12'000};
+};
+
+// Who gives orders: the daemon whose claim is the newest record of its topic.
+//
+// A claim is appended only if the topic still ends where the claimant read it to
+// end, so of two claimants one wins, and its epoch is higher than any before. The
+// owner renews its claim in the same way. Nobody needs a clock in common: silence
+// is measured by each candidate, only while the log answers.
+class ownership {
+ public:
+  struct handlers {
+    std::function<void(epoch)> on_gained;
+    std::function<void(const std::string& why)> on_lost;
+  };
+
+  ownership(asio::io_context& io, shared_log& log, const clock& time, event_log& events,
+            const ownership_options& options, handlers on);
+  ~ownership();
+  ownership(const ownership&) = delete;
+  ownership& operator=(const ownership&) = delete;
+
+  void start();
+  bool owner() const { return this->is_owner; }
+  // True while orders may still be given under this claim.
+  bool may_order() const;
+  // The newest claim; nothing if there was none yet.
+  const std::optional<owner_claim>& newest() const { return this->claim; }
+  // Gives the claim up, so that another daemon claims at once.
+  void resign(std::function<void()> on_done);
+  // The epoch is known to be over, from another source than the topic.
+  void lose(const std::string& why);
+
+ private:
+  void on_record(const logged_record& record);
+  void tick();
+  void renew();
+  void claim_next();
+  void append_claim(owner_claim next, std::function<void(const append_answer&)> on_answer);
+  millis claim_delay() const;
+
+  shared_log& log;
+  const clock& time;
+  event_log& events;
+  const ownership_options options;
+  const handlers on;
+  const std::uint64_t nonce;
+  log_follower follower;
+  timer ticker;
+  std::optional<owner_claim> claim;
+  std::int64_t end = 0;
+  instant heard{0};
+  instant renewed{0};
+  instant renewal_sent{0};
+  bool is_owner = false;
+  bool in_flight = false;
+  bool stopping = false;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/peer_link.cc
@@ -0,0 +1,58 @@
+#include "cell/peer_link.h"
+
+#include <stdexcept>
+
+namespace monsoonmux::cell {
+
+peer_link::peer_link(asio::io_context& io, event_log& out, const std::string& address,
+                     std::uint16_t port, handler receiver)
+    : events(out), socket(io), on_message(std::move(receiver)) {
+  asio::error_code error;
+  const peer_endpoint local(asio::ip::make_address(address, error), port);
+  if (!error) {
+    this->socket.open(asio::ip::udp::v4(), error);
+  }
+  if (!error) {
+    this->socket.bind(local, error);
+  }
+  if (error) {
+    throw std::runtime_error("cannot bind UDP " + address + ":" + std::to_string(port) + ": " +
+                             error.message());
+  }
+  this->socket.non_blocking(true);
+  this->receive();
+}
+
+peer_link::~peer_link() { *this->alive = false; }
+
+void peer_link::send(const peer_message& message, const peer_endpoint& to) {
+  const std::string bytes = encode(message);
+  asio::error_code error;
+  this->socket.send_to(asio::buffer(bytes), to, 0, error);
+  if (error && error != asio::error::would_block) {
+    this->events.write("datagram_not_sent",
+                       {{"to", to.address().to_string()}, {"why", error.message()}});
+  }
+}
+
+void peer_link::receive() {
+  this->socket.async_receive_from(
+      asio::buffer(this->buffer), this->from,
+      [this, a = this->alive](asio::error_code error, std::size_t size) {
+        if (!*a || error == asio::error::operation_aborted) {
+          return;
+        }
+        if (!error) {
+          const auto message = decode_peer_message(std::string(this->buffer.data(), size));
+          if (message) {
+            this->on_message(*message, this->from);
+          } else {
+            this->events.write("datagram_unreadable",
+                               {{"from", this->from.address().to_string()}, {"bytes", size}});
+          }
+        }
+        this->receive();
+      });
+}
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/peer_link.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "async/event_log.h"
+#include "cell/peer_message.h"
+
+namespace monsoonmux::cell {
+
+using peer_endpoint = asio::ip::udp::endpoint;
+
+// Sends and receives datagrams between daemons.
+class peer_link {
+ public:
+  using handler = std::function<void(const peer_message&, const peer_endpoint&)>;
+
+  // Throws std::runtime_error if the address cannot be bound.
+  peer_link(asio::io_context& io, event_log& events, const std::string& address,
+            std::uint16_t port, handler on_message);
+  ~peer_link();
+  peer_link(const peer_link&) = delete;
+  peer_link& operator=(const peer_link&) = delete;
+
+  void send(const peer_message& message, const peer_endpoint& to);
+  std::uint16_t port() const { return this->socket.local_endpoint().port(); }
+
+ private:
+  void receive();
+
+  static constexpr std::size_t max_datagram = 16 * 1024;
+  event_log& events;
+  asio::ip::udp::socket socket;
+  const handler on_message;
+  std::array<char, max_datagram> buffer{};
+  peer_endpoint from;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/peer_message.cc
@@ -0,0 +1,36 @@
+#include "cell/peer_message.h"
+
+#include <cereal/archives/binary.hpp>
+#include <sstream>
+
+namespace monsoonmux::cell {
+namespace {
+
+constexpr char format_version = 1;
+
+}  // namespace
+
+std::string encode(const peer_message& message) {
+  std::ostringstream out;
+  out.put(format_version);
+  cereal::BinaryOutputArchive archive(out);
+  archive(message);
+  return out.str();
+}
+
+std::optional<peer_message> decode_peer_message(const std::string& bytes) {
+  if (bytes.empty() || bytes.front() != format_version) {
+    return std::nullopt;
+  }
+  try {
+    std::istringstream in(bytes.substr(1));
+    cereal::BinaryInputArchive archive(in);
+    peer_message message;
+    archive(message);
+    return message;
+  } catch (const std::exception&) {
+    return std::nullopt;  // The caller counts it; it may be anybody's datagram.
+  }
+}
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/progress_writer.cc
@@ -0,0 +1,141 @@
+// An append without an answer is sent again with the same bytes and the same
+// number until the log answers: the log gives a repeated number its first answer,
+// so nothing is written twice and nothing is skipped.
+
+#include "cell/progress_writer.h"
+
+#include <asio/post.hpp>
+
+namespace monsoonmux::cell {
+
+progress_writer::progress_writer(asio::io_context& loop, shared_log& target, event_log& out,
+                                 epoch under, record_source make, std::function<void()> fenced,
+                                 const progress_writer_options& given)
+    : io(loop),
+      log(target),
+      events(out),
+      at(under),
+      source(std::move(make)),
+      on_fenced(std::move(fenced)),
+      options(given),
+      retry(loop) {}
+
+progress_writer::~progress_writer() { *this->alive = false; }
+
+void progress_writer::fence(std::function<void(std::int64_t)> on_done) {
+  append_request request;
+  request.topic = work_topic;
+  request.producer = producer_stamp{owner_producer, this->at, 0};
+  this->in_flight = true;
+  this->log.append(std::move(request), [this, on_done, a = this->alive](append_answer answer) {
+    if (!*a) {
+      return;
+    }
+    this->in_flight = false;
+    switch (answer.status) {
+      case append_status::done:
+        on_done(answer.end);
+        this->flush();
+        break;
+      case append_status::fenced:
+        this->over = true;
+        this->on_fenced();
+        break;
+      default:
+        this->retry.start(this->options.retry, [this, on_done] { this->fence(on_done); });
+    }
+  });
+}
+
+void progress_writer::write(const job_id& job, std::function<void()> on_stored) {
+  this->dirty.insert(job);
+  if (on_stored) {
+    this->followers.push_back(std::move(on_stored));
+  }
+  if (this->flush_posted) {
+    return;
+  }
+  // After all that happens in this turn of the loop.
+  this->flush_posted = true;
+  asio::post(this->io, [this, a = this->alive] {
+    if (*a) {
+      this->flush_posted = false;
+      this->flush();
+    }
+  });
+}
+
+void progress_writer::flush() {
+  if (this->in_flight || this->over || this->dirty.empty()) {
+    return;
+  }
+  this->current = {};
+  this->current.sequence = this->next_sequence;
+  std::size_t bytes = 0;
+  while (!this->dirty.empty() && bytes < this->options.bytes_per_append) {
+    const job_id job = *this->dirty.begin();
+    this->dirty.erase(this->dirty.begin());
+    keyed_record record = this->source(job);
+    if (record.key.empty()) {
+      continue;  // Forgotten since, after its last record was written.
+    }
+    bytes += record.value.size();
+    this->current.records.push_back(std::move(record));
+  }
+  if (this->dirty.empty()) {
+    this->current.on_stored.swap(this->followers);
+  }
+  if (this->current.records.empty()) {
+    for (const auto& follower : this->current.on_stored) {
+      asio::post(this->io, follower);
+    }
+    return;
+  }
+  this->in_flight = true;
+  this->send();
+}
+
+void progress_writer::send() {
+  append_request request;
+  request.topic = work_topic;
+  request.records = this->current.records;
+  request.producer = producer_stamp{owner_producer, this->at, this->current.sequence};
+  this->log.append(std::move(request), [this, a = this->alive](append_answer answer) {
+    if (*a) {
+      this->answered(answer);
+    }
+  });
+}
+
+void progress_writer::answered(const append_answer& answer) {
+  if (answer.status == append_status::done) {
+    this->in_flight = false;
+    this->next_sequence = this->current.sequence + 1;
+    const auto stored = std::move(this->current.on_stored);
+    const auto a = this->alive;
+    for (const auto& follower : stored) {
+      if (!*a) {
+        return;
+      }
+      follower();
+    }
+    if (*a) {
+      this->flush();
+    }
+    return;
+  }
+  if (answer.status == append_status::fenced) {
+    this->over = true;
+    this->on_fenced();
+    return;
+  }
+  if (answer.status == append_status::out_of_sequence) {
+    this->events.write("append_out_of_sequence", {{"epoch", this->at.value},
+                                                  {"sequence", this->current.sequence},
+                                                  {"expected", answer.expected_sequence}});
+    this->current.sequence = answer.expected_sequence;
+  }
+  this->retry.start(this->options.retry, [this] { this->send(); });
+}
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/progress_writer.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "async/event_log.h"
+#include "base/clock.h"
+#include "cell/shared_log.h"
+#include "cell/timer.h"
+#include "cell/topics.h"
+
+namespace monsoonmux::cell {
+
+struct progress_writer_options {
+  std::size_t bytes_per_append = 1 << 20;  // Well below what one call may carry.
+  millis retry{60};
+};
+
+// Appends an owner's records under its epoch, in groups, one append at a time.
+//
+// Records are made at the moment of the append, so a job that changed many times
+// meanwhile is written once. What was asked to follow a change runs when the
+// change is in the log, and never if the epoch is over.
+class progress_writer {
+ public:
+  // Makes the newest record of a job.
+  using record_source = std::function<keyed_record(const job_id&)>;
+
+  progress_writer(asio::io_context& io, shared_log& log, event_log& events, epoch at,
+                  record_source source, std::function<void()> on_fenced,
+                  const progress_writer_options& options = {});
+  ~progress_writer();
+  progress_writer(const progress_writer&) = delete;
+  progress_writer& operator=(const progress_writer&) = delete;
+
+  // Shuts out owners of lower epochs; `on_done` gets the end of the topic.
+  void fence(std::function<void(std::int64_t)> on_done);
+  // Writes the job's record soon, then calls `on_stored`.
+  void write(const job_id& job, std::function<void()> on_stored = {});
+  bool idle() const { return !this->in_flight && this->dirty.empty(); }
+
+ private:
+  struct batch {
+    std::int64_t sequence = 0;
+    std::vector<keyed_record> records;
+    std::vector<std::function<void()>> on_stored;
+  };
+
+  void flush();
+  void send();
+  void answered(const append_answer& answer);
+
+  asio::io_context& io;
+  shared_log& log;
+  event_log& events;
+  const epoch at;
+  const record_source source;
+  const std::function<void()> on_fenced;
+  const progress_writer_options options;
+  timer retry;
+  std::set<job_id> dirty;
+  std::vector<std::function<void()>> followers;
+  batch current;
+  bool in_flight = false;
+  bool over = false;
+  bool flush_posted = false;
+  std::int64_t next_sequence = 1;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/runner_port.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/failure.h"
+#include "base/quantity.h"
+#include "decide/live_job.h"
+
+namespace monsoonmux::cell {
+
+// Where an order goes, and under which token.
+struct order_target {
+  std::string address;
+  std::string instance;  // Any other incarnation at the address refuses.
+  epoch token;
+};
+
+struct start_order {
+  order_target target;
+  std::string task;
+  std::int32_t run = 0;
+  std::string payload;
+  std::int64_t until_ms = 0;  // Lease end, on the runner's clock.
+  std::string checkpoint;
+  std::string ticket;
+};
+
+enum class order_status {
+  done,
+  fenced,       // The runner has seen a higher token.
+  old_run,      // That run, or a later one, has ended or was stopped there.
+  late,         // The lease end has passed.
+  no_room,
+  no_ticket,
+  refused,      // Nothing was done, for another reason.
+  other_instance,
+  not_sent,     // No connection; nothing was done.
+  unknown,      // No answer: done, not done, or done later.
+};
+std::string_view to_string(order_status status);
+
+struct order_answer {
+  order_status status = order_status::unknown;
+  std::optional<std::int64_t> clock_ms;  // The runner's clock.
+};
+
+struct stop_order {
+  order_target target;
+  std::string task;
+  std::int32_t run = 0;
+};
+
+// Extends the lease of all that runs there, notes ends as seen, and looks.
+struct hold_order {
+  order_target target;
+  std::optional<std::int64_t> until_ms;
+  std::int64_t last_seen = 0;  // Ends up to this number may be forgotten.
+  millis wait{0};              // For an end to happen.
+};
+
+struct running_run {
+  std::string task;
+  std::int32_t run = 0;
+  std::string checkpoint;
+  std::int32_t percent = 100;
+};
+
+struct finished_run {
+  std::int64_t number = 0;
+  std::string task;
+  std::int32_t run = 0;
+  run_end how = run_end::lost;
+  std::string checkpoint;
+};
+
+struct hold_report {
+  std::int64_t born = 0;
+  std::int64_t clock_ms = 0;
+  std::vector<running_run> running;
+  std::vector<finished_run> finished;
+};
+
+struct hold_answer {
+  order_status status = order_status::unknown;
+  hold_report report;  // With done.
+};
+
+// Orders to runners.
+class runner_port {
+ public:
+  virtual ~runner_port() = default;
+  virtual void start(const start_order& order, std::function<void(order_answer)> on_answer) = 0;
+  virtual void stop(const stop_order& order, std::function<void(order_answer)> on_answer) = 0;
+  virtual void hold(const hold_order& order, std::function<void(hold_answer)> on_answer) = 0;
+};
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/runner_session.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "async/event_log.h"
+#include "base/clock.h"
+#include "cell/runner_port.h"
+#include "cell/timer.h"
+#include "decide/runner_book.h"
+
+namespace monsoonmux::cell {
+
+struct session_options {
+  millis hold_max{10'000};     // Longest lease that a runner grants.
+  millis look_wait{2'000};     // One look waits this long for an end.
+  millis retry{200};           // After an order that got no answer.
+  std::int32_t start_tries = 3;  // Then the run is closed by a stop.
+  millis lost_probe{1'000};    // Between looks at a runner that does not answer.
+};
+
+// What a session tells its owner.
+class session_events {
+ public:
+  virtual ~session_events() = default;
+  // The runner answered under our token; its room is known now.
+  virtual void runner_admitted(const std::string& runner, std::int64_t born) = 0;
+  virtual void runner_silent(const std::string& runner) = 0;
+  // `number` is to be passed to ends_stored() when the end is in the log.
+  virtual void run_ended(const std::string& runner, const run_key& run, run_end how,
+                         const std::string& checkpoint, std::int64_t number) = 0;
+  // The run is over or never began, without an end that the runner lists.
+  virtual void run_gone(const std::string& runner, const run_key& run, std::string_view why) = 0;
+  virtual void checkpoint_seen(const std::string& runner, const run_key& run,
+                               const std::string& checkpoint) = 0;
+  virtual void ticket_refused(const std::string& runner, const run_key& run) = 0;
+  // The runner has seen a higher token than ours.
+  virtual void token_refused(const std::string& runner) = 0;
+};
+
+// All that is said to one runner under one epoch, and what is known of its runs.
+//
+// A run is over only when the runner listed its end, when a look that was sent
+// after its start (or its stop) was answered shows it neither running nor ended,
+// when the runner was reborn, or when its lease has surely lapsed by the runner's
+// own, possibly slow clock. A start without an answer is repeated, which is
+// harmless; if that does not help either, an answered stop closes the run.
+class runner_session {
+ public:
+  runner_session(asio::io_context& io, runner_port& port, const clock& time, event_log& events,
+                 session_events& owner, std::string id, epoch token, instant inherited_until,
+                 const session_options& options);
+  ~runner_session();
+  runner_session(const runner_session&) = delete;
+  runner_session& operator=(const runner_session&) = delete;
+
+  void update(const runner_entry& entry);
+  void unlist() { this->listed = false; }
+  // A run that a former owner may have started there.
+  void recover(const run_key& run, std::int64_t born);
+  void start(const run_key& run, std::string payload, std::string ticket, std::string checkpoint);
+  void stop(const run_key& run);
+  void ends_stored(std::int64_t number);
+  void tick();
+  bool has_runs() const { return !this->runs.empty(); }
+  bool is_listed() const { return this->listed; }
+
+ private:
+  struct link {
+    std::int64_t born = 0;       // Incarnation that it was started on.
+    bool recovered = false;
+    instant answered_at{0};      // Of a start or stop; 0: none yet.
+    std::int32_t unanswered = 0; // Starts without an answer.
+    std::int32_t tries = 0;
+    bool stopping = false;
+    bool stop_in_flight = false;
+    bool stop_answered = false;
+    instant next_try{0};
+    start_order order;
+  };
+
+  void look();
+  void looked(const hold_answer& answer, instant sent);
+  void report(const hold_report& report, instant sent);
+  void reborn(std::int64_t born);
+  void take_ends(const hold_report& report);
+  void take_running(const hold_report& report);
+  void close_missing(const hold_report& report, instant sent);
+  void send_start(const run_key& run);
+  void started(const run_key& run, const order_answer& answer);
+  void start_refused(const run_key& run, link& l, std::string_view why);
+  void send_stop(const run_key& run);
+  void lose_lapsed();
+  void note_clock(const order_answer& answer);
+  void note_clock(std::int64_t clock_ms);
+  std::int64_t clock_now() const;
+  std::int64_t lease_until() const;
+  order_target target() const;
+  bool reachable() const { return !this->entry.address.empty(); }
+
+  asio::io_context& io;
+  runner_port& port;
+  const clock& time;
+  event_log& events;
+  session_events& owner;
+  const std::string id;
+  const epoch token;
+  const session_options options;
+  runner_entry entry;
+  bool listed = false;
+  bool admitted = false;   // It has answered under our token in this life.
+  bool announced = false;  // The owner may place work there.
+  std::int64_t born = 0;
+  std::int64_t clock_ms = 0;
+  instant clock_at{0};
+  instant lapse_at;
+  std::int64_t seen = 0;
+  std::int64_t stored = 0;
+  bool look_in_flight = false;
+  instant next_look{0};
+  instant last_look{0};
+  std::int32_t failed_looks = 0;
+  std::map<run_key, link> runs;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/submission_writer.cc
@@ -0,0 +1,78 @@
+#include "cell/submission_writer.h"
+
+#include <algorithm>
+
+namespace monsoonmux::cell {
+
+submission_writer::submission_writer(asio::io_context& io, shared_log& target, const clock& now,
+                                     const submission_writer_options& given)
+    : log(target), time(now), options(given), retry(io) {}
+
+submission_writer::~submission_writer() { *this->alive = false; }
+
+void submission_writer::write(keyed_record record, instant deadline,
+                              std::function<void(write_fate)> on_fate) {
+  this->queue.push_back({std::move(record), deadline, std::move(on_fate)});
+  if (!this->in_flight && !this->retry.pending()) {
+    this->flush();
+  }
+}
+
+void submission_writer::flush() {
+  this->expire();
+  if (this->in_flight || this->queue.empty()) {
+    return;
+  }
+  append_request request;
+  request.topic = work_topic;
+  const std::size_t count = std::min(this->queue.size(), this->options.records_per_append);
+  for (std::size_t i = 0; i < count; ++i) {
+    request.records.push_back(this->queue[i].record);
+  }
+  this->in_flight = true;
+  this->log.append(std::move(request), [this, count, a = this->alive](append_answer answer) {
+    if (*a) {
+      this->answered(count, answer);
+    }
+  });
+}
+
+void submission_writer::answered(std::size_t count, const append_answer& answer) {
+  this->in_flight = false;
+  if (answer.status == append_status::done) {
+    this->failures = 0;
+    std::vector<entry> stored(std::make_move_iterator(this->queue.begin()),
+                              std::make_move_iterator(this->queue.begin() + static_cast<std::ptrdiff_t>(count)));
+    this->queue.erase(this->queue.begin(), this->queue.begin() + static_cast<std::ptrdiff_t>(count));
+    for (entry& e : stored) {
+      e.on_fate(write_fate::stored);
+    }
+    this->flush();
+    return;
+  }
+  ++this->failures;
+  if (answer.status == append_status::unknown) {
+    for (std::size_t i = 0; i < count; ++i) {
+      this->queue[i].maybe_stored = true;
+    }
+  }
+  this->retry.start(this->options.retry, [this] { this->flush(); });
+}
+
+void submission_writer::expire() {
+  const instant now = this->time.now();
+  std::vector<entry> over;
+  for (auto it = this->queue.begin(); it != this->queue.end();) {
+    if (it->deadline <= now) {
+      over.push_back(std::move(*it));
+      it = this->queue.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  for (entry& e : over) {
+    e.on_fate(e.maybe_stored ? write_fate::unknown : write_fate::not_stored);
+  }
+}
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/submission_writer.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+
+#include "base/clock.h"
+#include "cell/shared_log.h"
+#include "cell/timer.h"
+#include "cell/topics.h"
+
+namespace monsoonmux::cell {
+
+// What became of a record.
+enum class write_fate {
+  stored,
+  not_stored,  // And never will be.
+  unknown,
+};
+
+struct submission_writer_options {
+  std::size_t records_per_append = 64;
+  millis retry{80};  // Between two tries of the same records.
+};
+
+// Appends callers' records in groups, one append at a time. A record is tried
+// until its deadline. It is not_stored only if no try of it was left without an
+// answer; its key makes a second append of it harmless.
+class submission_writer {
+ public:
+  submission_writer(asio::io_context& io, shared_log& log, const clock& time,
+                    const submission_writer_options& options = {});
+  ~submission_writer();
+  submission_writer(const submission_writer&) = delete;
+  submission_writer& operator=(const submission_writer&) = delete;
+
+  void write(keyed_record record, instant deadline, std::function<void(write_fate)> on_fate);
+  std::size_t waiting() const { return this->queue.size(); }
+  // Refused or unanswered appends since the last one that was done.
+  std::int64_t failed_appends() const { return this->failures; }
+
+ private:
+  struct entry {
+    keyed_record record;
+    instant deadline;
+    std::function<void(write_fate)> on_fate;
+    bool maybe_stored = false;
+  };
+
+  void flush();
+  void answered(std::size_t count, const append_answer& answer);
+  void expire();
+
+  shared_log& log;
+  const clock& time;
+  const submission_writer_options options;
+  timer retry;
+  std::deque<entry> queue;
+  bool in_flight = false;
+  std::int64_t failures = 0;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/decide/advice_book.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+#include "decide/task_ref.h"
+#include "model/cell_config.h"
+
+namespace monsoonmux::cell {
+
+// Permission to start tasks of one step on one runner.
+struct ticket {
+  std::string runner;
+  std::string text;
+};
+
+// What the advice service has said about the steps that wait.
+//
+// Which runners are good for a step never changes, but a ticket for it expires
+// soon. So a step is first asked about many runners, and later only about those
+// that are known to be good.
+class advice_book {
+ public:
+  struct step_advice {
+    std::map<std::string, bool> good;  // By runner, as far as asked.
+    struct held_ticket {
+      std::string text;
+      instant valid_until;
+    };
+    std::map<std::string, held_ticket> tickets;
+    bool asking = false;
+    instant retry_at{0};
+  };
+
+  step_advice& of(const step_ref& step) { return this->steps[step]; }
+  const step_advice* find(const step_ref& step) const;
+  void answer(const step_ref& step, const std::vector<std::string>& asked,
+              const std::vector<ticket>& given, instant valid_until);
+  // The ticket for a start now; empty if there is none that is still valid.
+  std::string ticket_for(const step_ref& step, const std::string& runner, instant now) const;
+  void drop_ticket(const step_ref& step, const std::string& runner);
+  void forget(const job_id& job);
+
+ private:
+  std::map<step_ref, step_advice> steps;
+};
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/decide/job_book.cc
@@ -0,0 +1,118 @@
+#include "decide/job_book.h"
+
+namespace monsoonmux::cell {
+
+job_phase job_record::phase() const {
+  if (this->progress && is_final(this->progress->phase)) {
+    return this->progress->phase;
+  }
+  if (this->cancelled) {
+    return job_phase::cancelled;
+  }
+  return this->progress ? this->progress->phase : job_phase::queued;
+}
+
+bool job_book::counts_as_pending(const job_record& record) {
+  return record.submission && !record.submission->spec.timed() && !record.cancelled &&
+         !(record.progress && (record.progress->ever_started || is_final(record.progress->phase)));
+}
+
+void job_book::recount(const job_record& record, bool counted_before) {
+  const bool counts = counts_as_pending(record);
+  if (counts != counted_before) {
+    this->pending_by_queue[record.submission->queue] += counts ? 1 : -1;
+  }
+}
+
+bool job_record::settled() const {
+  if (!this->progress || !is_final(this->progress->phase)) {
+    return false;
+  }
+  for (const occurrence_progress& occurrence : this->progress->occurrences) {
+    for (const task_progress& task : occurrence.tasks) {
+      if (task.phase == task_phase::placed) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+void job_book::forget_details(job_record& entry) {
+  if (!entry.settled()) {
+    return;
+  }
+  entry.progress->occurrences = {};
+  if (entry.submission) {
+    entry.submission->spec = {};
+  }
+}
+
+book_change job_book::apply(const keyed_record& record) {
+  const auto key = parse_key(record.key);
+  if (!key || record.value.empty()) {
+    return key ? book_change::nothing : book_change::unreadable;
+  }
+  switch (key->kind) {
+    case record_kind::submission:
+      return this->apply_submission(key->job, record.value);
+    case record_kind::progress:
+      return this->apply_progress(key->job, record.value);
+    case record_kind::cancellation:
+      break;
+  }
+  job_record& entry = this->records[key->job];
+  const bool counted = counts_as_pending(entry);
+  const bool is_new = !entry.cancelled;
+  entry.cancelled = true;
+  this->recount(entry, counted);
+  return is_new ? book_change::cancelled : book_change::nothing;
+}
+
+book_change job_book::apply_submission(const job_id& job, const std::string& value) {
+  auto submission = decode_submission(value);
+  if (!submission || submission->job != job) {
+    return book_change::unreadable;
+  }
+  job_record& entry = this->records[job];
+  if (entry.submission) {
+    return book_change::nothing;
+  }
+  entry.submission = std::move(submission);
+  forget_details(entry);
+  this->recount(entry, false);
+  return book_change::submitted;
+}
+
+book_change job_book::apply_progress(const job_id& job, const std::string& value) {
+  auto progress = decode_progress(value);
+  if (!progress) {
+    return book_change::unreadable;
+  }
+  job_record& entry = this->records[job];
+  if (entry.progress && progress->owner_epoch < entry.progress->owner_epoch) {
+    return book_change::nothing;
+  }
+  const bool counted = counts_as_pending(entry);
+  entry.progress = std::move(progress);
+  forget_details(entry);
+  this->recount(entry, counted);
+  return book_change::progressed;
+}
+
+const job_record* job_book::find(const job_id& job) const {
+  const auto it = this->records.find(job);
+  return it == this->records.end() ? nullptr : &it->second;
+}
+
+std::int64_t job_book::pending(const queue_id& queue) const {
+  const auto it = this->pending_by_queue.find(queue);
+  return it == this->pending_by_queue.end() ? 0 : it->second;
+}
+
+void job_book::clear() {
+  this->records.clear();
+  this->pending_by_queue.clear();
+}
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/decide/job_book.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "model/cell_record.h"
+
+namespace monsoonmux::cell {
+
+// What the log says of one job.
+struct job_record {
+  std::optional<job_submission> submission;  // Its spec is emptied once the job is settled.
+  std::optional<job_progress> progress;
+  bool cancelled = false;
+
+  // The phase that callers are shown.
+  job_phase phase() const;
+  // True if it is final and none of its runs may be left on a runner.
+  bool settled() const;
+};
+
+// What a record changed.
+enum class book_change { nothing, submitted, cancelled, progressed, unreadable };
+
+// All jobs of the cell, as a function of the log. Every daemon keeps one; it
+// answers callers from it, and an owner starts from it.
+//
+// Records may come more than once and submissions of one job from several
+// daemons; the first submission stands, the newest progress of the highest epoch
+// stands, and a cancellation stands for good.
+class job_book {
+ public:
+  book_change apply(const keyed_record& record);
+
+  const job_record* find(const job_id& job) const;
+  const std::unordered_map<job_id, job_record>& jobs() const { return this->records; }
+  // Accepted jobs of the queue of which no task has started; timed ones aside.
+  std::int64_t pending(const queue_id& queue) const;
+  void clear();
+
+ private:
+  book_change apply_submission(const job_id& job, const std::string& value);
+  book_change apply_progress(const job_id& job, const std::string& value);
+  static void forget_details(job_record& entry);
+  static bool counts_as_pending(const job_record& record);
+  void recount(const job_record& record, bool counted_before);
+
+  std::unordered_map<job_id, job_record> records;
+  std::unordered_map<queue_id, std::int64_t> pending_by_queue;
+};
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/decide/live_job.cc
@@ -0,0 +1,307 @@
+// A gang's runs share one number. A member that ended is waiting, but the gang
+// starts again only when no member is placed any more, so two runs of one member
+// never overlap. One member's `done` stands for all of them; a failed run of the
+// gang counts once, whichever members report it.
+
+#include "decide/live_job.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace monsoonmux::cell {
+
+std::string_view to_string(run_end how) {
+  switch (how) {
+    case run_end::done:
+      return "done";
+    case run_end::failed:
+      return "failed";
+    case run_end::stopped:
+      return "stopped";
+    case run_end::lapsed:
+      return "lapsed";
+    case run_end::broken:
+      return "broken";
+    case run_end::alone:
+      return "alone";
+    case run_end::lost:
+      return "lost";
+  }
+  return "unknown";
+}
+
+std::optional<task_ref> parse_task_ref(const std::string& text) {
+  task_ref out;
+  const std::size_t first = text.find('.');
+  if (first == std::string::npos || first == 0) {
+    return std::nullopt;
+  }
+  out.in.job = job_id(text.substr(0, first));
+  const char* at = text.data() + first;
+  const char* const end = text.data() + text.size();
+  for (std::int32_t* number : {&out.in.occurrence, &out.in.step, &out.index}) {
+    if (at == end || *at != '.') {
+      return std::nullopt;
+    }
+    const auto [next, error] = std::from_chars(at + 1, end, *number);
+    if (error != std::errc{} || *number < 0) {
+      return std::nullopt;
+    }
+    at = next;
+  }
+  return at == end ? std::optional(out) : std::nullopt;
+}
+
+bool live_occurrence::complete() const {
+  return std::all_of(this->steps.begin(), this->steps.end(),
+                     [](const live_step& step) { return step.complete(); });
+}
+
+live_job::live_job(job_submission submission, const std::optional<job_progress>& progress,
+                   std::int32_t attempts, instant now)
+    : accepted(std::move(submission)), max_attempts(attempts), since(now) {
+  if (!progress) {
+    return;
+  }
+  this->state = progress->phase;
+  this->ever_started = progress->ever_started;
+  this->first_open = progress->first_open;
+  this->next_occurrence = progress->first_open;
+  for (const occurrence_progress& saved : progress->occurrences) {
+    live_occurrence occurrence = this->fresh_occurrence();
+    for (const task_progress& t : saved.tasks) {
+      const auto step = static_cast<std::size_t>(t.step);
+      const auto index = static_cast<std::size_t>(t.index);
+      if (step >= occurrence.steps.size() || index >= occurrence.steps[step].tasks.size()) {
+        continue;  // Not of this spec; such a record is never written.
+      }
+      live_task& task = occurrence.steps[step].tasks[index];
+      task.phase = t.phase;
+      task.run = t.run;
+      task.failures = t.failures;
+      task.runner = t.runner;
+      task.runner_born = t.runner_born;
+      task.checkpoint = t.checkpoint;
+      task.placed_at = now;
+      if (t.phase == task_phase::done) {
+        ++occurrence.steps[step].done;
+      }
+    }
+    this->next_occurrence = std::max(this->next_occurrence, saved.number + 1);
+    this->open.emplace(saved.number, std::move(occurrence));
+  }
+}
+
+live_occurrence live_job::fresh_occurrence() const {
+  live_occurrence occurrence;
+  occurrence.steps.resize(this->spec().steps.size());
+  for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+    occurrence.steps[i].tasks.resize(static_cast<std::size_t>(this->spec().steps[i].count));
+  }
+  return occurrence;
+}
+
+bool live_job::open_due(std::int64_t wall_ms) {
+  bool opened = false;
+  while (this->next_occurrence < this->spec().occurrences() &&
+         this->spec().due_ms(this->next_occurrence) <= wall_ms) {
+    this->open.emplace(this->next_occurrence, this->fresh_occurrence());
+    ++this->next_occurrence;
+    opened = true;
+  }
+  return opened;
+}
+
+std::int64_t live_job::next_due_ms() const {
+  return this->next_occurrence < this->spec().occurrences()
+             ? this->spec().due_ms(this->next_occurrence)
+             : 0;
+}
+
+bool live_job::step_ready(const live_occurrence& occurrence, std::int32_t step) const {
+  const auto& needed = this->spec().steps[static_cast<std::size_t>(step)].depends_on;
+  return std::all_of(needed.begin(), needed.end(), [&occurrence](std::int32_t earlier) {
+    return occurrence.steps[static_cast<std::size_t>(earlier)].complete();
+  });
+}
+
+live_task* live_job::find(const task_ref& task) {
+  const auto it = this->open.find(task.in.occurrence);
+  const auto step = static_cast<std::size_t>(task.in.step);
+  if (it == this->open.end() || step >= it->second.steps.size()) {
+    return nullptr;
+  }
+  auto& tasks = it->second.steps[step].tasks;
+  const auto index = static_cast<std::size_t>(task.index);
+  return index < tasks.size() ? &tasks[index] : nullptr;
+}
+
+void live_job::place(const task_ref& task, std::int32_t run, const std::string& runner,
+                     std::int64_t runner_born, instant now) {
+  live_task& t = *this->find(task);
+  t.phase = task_phase::placed;
+  t.run = run;
+  t.runner = runner;
+  t.runner_born = runner_born;
+  t.placed_at = now;
+  this->ever_started = true;
+  if (this->state == job_phase::queued) {
+    this->state = job_phase::running;
+  }
+}
+
+std::int32_t live_job::next_run(const task_ref& task) {
+  const live_step& step =
+      this->open.at(task.in.occurrence).steps[static_cast<std::size_t>(task.in.step)];
+  if (!this->spec().steps[static_cast<std::size_t>(task.in.step)].gang) {
+    return step.tasks[static_cast<std::size_t>(task.index)].run + 1;
+  }
+  std::int32_t highest = 0;
+  for (const live_task& member : step.tasks) {
+    highest = std::max(highest, member.run);
+  }
+  return highest + 1;
+}
+
+void live_job::mark_done(live_step& step, live_task& task) {
+  if (task.phase != task_phase::done) {
+    task.phase = task_phase::done;
+    task.checkpoint.clear();
+    ++step.done;
+  }
+}
+
+end_effect live_job::finish(const task_ref& task, std::int32_t run, run_end how,
+                            const std::string& checkpoint) {
+  end_effect effect;
+  live_task* const t = this->find(task);
+  if (t == nullptr || t->phase != task_phase::placed || t->run != run) {
+    return effect;
+  }
+  effect.counted = true;
+  live_step& step = this->open.at(task.in.occurrence).steps[static_cast<std::size_t>(task.in.step)];
+  const step_spec& shape = this->spec().steps[static_cast<std::size_t>(task.in.step)];
+  if (!checkpoint.empty()) {
+    t->checkpoint = checkpoint;
+  }
+  if (how == run_end::done && !shape.long_running) {
+    this->finish_done(step, shape, *t);
+  } else {
+    t->phase = task_phase::waiting;
+  }
+  if (how == run_end::failed) {
+    this->count_failure(step, shape, *t);
+  }
+  effect.step_done = step.complete();
+  const bool out_of_attempts = !shape.long_running && t->failures >= this->max_attempts;
+  if (how == run_end::failed && out_of_attempts && !is_final(this->state)) {
+    this->state = job_phase::failed;
+    effect.job_final = true;
+  }
+  this->close_complete_occurrences();
+  if (!is_final(this->state) && this->open.empty() &&
+      this->next_occurrence >= this->spec().occurrences()) {
+    this->state = job_phase::completed;
+    effect.job_final = true;
+  }
+  return effect;
+}
+
+void live_job::finish_done(live_step& step, const step_spec& shape, live_task& task) {
+  if (!shape.gang) {
+    this->mark_done(step, task);
+    return;
+  }
+  for (live_task& member : step.tasks) {
+    this->mark_done(step, member);
+  }
+}
+
+void live_job::count_failure(live_step& step, const step_spec& shape, live_task& task) {
+  task.last_failed_on = task.runner;
+  if (!shape.gang) {
+    ++task.failures;
+    return;
+  }
+  if (task.failed_run == task.run) {
+    return;
+  }
+  const std::int32_t failed_run = task.run;
+  for (live_task& member : step.tasks) {
+    ++member.failures;
+    member.failed_run = failed_run;
+  }
+}
+
+std::string live_job::checkpoint_of(const task_ref& task) const {
+  const live_step& step =
+      this->open.at(task.in.occurrence).steps[static_cast<std::size_t>(task.in.step)];
+  const live_task& own = step.tasks[static_cast<std::size_t>(task.index)];
+  if (!this->spec().steps[static_cast<std::size_t>(task.in.step)].gang) {
+    return own.checkpoint;
+  }
+  // All members must carry one value, and any member's is valid.
+  std::string latest;
+  for (const live_task& member : step.tasks) {
+    if (!member.checkpoint.empty()) {
+      latest = std::max(latest, member.checkpoint);
+    }
+  }
+  return latest;
+}
+
+void live_job::close_complete_occurrences() {
+  while (!this->open.empty() && this->open.begin()->first == this->first_open &&
+         this->open.begin()->second.complete()) {
+    this->open.erase(this->open.begin());
+    ++this->first_open;
+  }
+}
+
+void live_job::cancel() {
+  if (!is_final(this->state)) {
+    this->state = job_phase::cancelled;
+  }
+}
+
+bool live_job::has_placed_tasks() const {
+  for (const auto& [number, occurrence] : this->open) {
+    for (const live_step& step : occurrence.steps) {
+      for (const live_task& task : step.tasks) {
+        if (task.phase == task_phase::placed) {
+          return true;
+        }
+      }
+    }
+  }
+  return false;
+}
+
+job_progress live_job::progress(epoch owner_epoch) const {
+  job_progress out;
+  out.owner_epoch = owner_epoch;
+  out.phase = this->state;
+  out.ever_started = this->ever_started;
+  out.first_open = this->first_open;
+  for (const auto& [number, occurrence] : this->open) {
+    occurrence_progress saved;
+    saved.number = number;
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      const auto& tasks = occurrence.steps[s].tasks;
+      for (std::size_t i = 0; i < tasks.size(); ++i) {
+        const live_task& t = tasks[i];
+        if (t.phase == task_phase::waiting && t.run == 0) {
+          continue;
+        }
+        saved.tasks.push_back({static_cast<std::int32_t>(s), static_cast<std::int32_t>(i), t.phase,
+                               t.run, t.failures,
+                               t.phase == task_phase::placed ? t.runner : std::string(),
+                               t.phase == task_phase::placed ? t.runner_born : 0, t.checkpoint});
+      }
+    }
+    out.occurrences.push_back(std::move(saved));
+  }
+  return out;
+}
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/decide/placer.cc
@@ -0,0 +1,355 @@
+// One round over all waiting steps. Runners are chosen greedily: for tasks with
+// accelerators the fullest runner that still fits, so that whole runners stay free
+// for gangs; for others the emptiest, since tasks on one runner slow each other
+// down. An exact packing was not tried: a round has to end within milliseconds on a
+// quarter of a core, and the next one follows as soon as anything ends.
+
+#include "decide/placer.h"
+
+#include <algorithm>
+
+namespace monsoonmux::cell {
+namespace {
+
+// Scores; the lowest wins. A far rack outweighs any packing, a runner on which the
+// task has just failed outweighs both.
+constexpr double far_penalty = 10;
+constexpr double failed_here_penalty = 100;
+
+double free_fraction(std::int64_t room, std::int64_t capacity) {
+  return capacity > 0 ? static_cast<double>(room) / static_cast<double>(capacity) : 0;
+}
+
+}  // namespace
+
+placer::placer(cell_state& cell, const placer_options& given) : state(cell), options(given) {}
+
+resources placer::reserved(const step_spec& shape) const {
+  resources amount = shape.need;
+  if (shape.fills) {
+    amount.cpu = millicores{0};
+  }
+  return amount;
+}
+
+plan placer::decide(instant now, std::int64_t wall_ms) {
+  this->by_service.clear();
+  this->warmed.clear();
+  this->claims.clear();
+  this->claimed_by.clear();
+  for (auto& [id, runner] : this->state.runners.all()) {
+    this->by_service[runner.entry.service.text].push_back(&runner);
+  }
+  plan out;
+  for (const waiting_step& step : this->collect(now, wall_ms)) {
+    out.waiting_tasks += static_cast<std::int64_t>(step.tasks.size());
+    this->place_step(step, now, out);
+  }
+  return out;
+}
+
+std::vector<placer::waiting_step> placer::collect(instant now, std::int64_t wall_ms) {
+  std::vector<waiting_step> out;
+  const urgency_judge judge(this->state, now, wall_ms);
+  for (auto& [id, job] : this->state.jobs) {
+    if (is_final(job.phase())) {
+      continue;
+    }
+    for (auto& [number, occurrence] : job.occurrences()) {
+      for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+        const live_step& step = occurrence.steps[s];
+        const auto index = static_cast<std::int32_t>(s);
+        if (step.complete() || !job.step_ready(occurrence, index)) {
+          continue;
+        }
+        waiting_step waiting;
+        for (std::size_t t = 0; t < step.tasks.size(); ++t) {
+          if (step.tasks[t].phase == task_phase::waiting) {
+            waiting.tasks.push_back(static_cast<std::int32_t>(t));
+          }
+        }
+        const step_spec& shape = job.spec().steps[s];
+        // A gang starts again only when all its members are closed.
+        const bool whole = waiting.tasks.size() == step.tasks.size();
+        if (waiting.tasks.empty() || (shape.gang && !whole)) {
+          continue;
+        }
+        waiting.order = judge.judge(job, number, occurrence);
+        waiting.ref = {id, number, index};
+        waiting.job = &job;
+        waiting.shape = &shape;
+        waiting.queue = this->state.config.find_queue(job.submission().queue);
+        waiting.service =
+            waiting.queue != nullptr ? waiting.queue->service : job.submission().service;
+        out.push_back(std::move(waiting));
+      }
+    }
+  }
+  std::sort(out.begin(), out.end(), [](const waiting_step& a, const waiting_step& b) {
+    return std::tie(a.order, a.ref) < std::tie(b.order, b.ref);
+  });
+  return out;
+}
+
+void placer::place_step(const waiting_step& step, instant now, plan& out) {
+  if (step.shape->gang) {
+    if (!this->place_gang(step, now, out)) {
+      this->claim_runners(step);
+      this->wish_for_advice(step, now, out);
+    }
+    return;
+  }
+  const std::size_t before = out.placements.size();
+  this->place_tasks(step, now, out);
+  if (out.placements.size() - before < step.tasks.size()) {
+    this->wish_for_advice(step, now, out);
+  }
+}
+
+void placer::place_tasks(const waiting_step& step, instant now, plan& out) {
+  live_occurrence& occurrence = step.job->occurrences().at(step.ref.occurrence);
+  live_step& tasks = occurrence.steps[static_cast<std::size_t>(step.ref.step)];
+  for (const std::int32_t index : step.tasks) {
+    if (!this->state.tenants.fits(this->state.config, step.job->submission().tenant,
+                                  step.shape->need)) {
+      return;
+    }
+    const choice best =
+        this->best_runner(step, tasks.tasks[static_cast<std::size_t>(index)], now, {});
+    if (best.runner == nullptr) {
+      return;
+    }
+    const std::int32_t run = step.job->next_run({step.ref, index});
+    this->reserve(step, index, run, *best.runner);
+    out.placements.push_back(this->record(step, index, run, *best.runner, now));
+  }
+}
+
+bool placer::place_gang(const waiting_step& step, instant now, plan& out) {
+  const auto members = static_cast<std::int64_t>(step.tasks.size());
+  if (!this->state.tenants.fits(this->state.config, step.job->submission().tenant,
+                                step.shape->need * members)) {
+    return false;
+  }
+  // One rack first, if that matters; then any.
+  std::vector<std::string> racks;
+  if (step.shape->same_rack) {
+    for (const runner_state* runner : this->by_service[step.service.text]) {
+      racks.push_back(runner->entry.rack);
+    }
+    std::sort(racks.begin(), racks.end());
+    racks.erase(std::unique(racks.begin(), racks.end()), racks.end());
+  }
+  racks.emplace_back();
+  live_occurrence& occurrence = step.job->occurrences().at(step.ref.occurrence);
+  live_step& tasks = occurrence.steps[static_cast<std::size_t>(step.ref.step)];
+  const std::int32_t run = step.job->next_run({step.ref, 0});
+  for (const std::string& rack : racks) {
+    std::vector<runner_state*> chosen;
+    for (const std::int32_t index : step.tasks) {
+      const live_task& task = tasks.tasks[static_cast<std::size_t>(index)];
+      runner_state* const runner = this->best_runner(step, task, now, rack).runner;
+      if (runner == nullptr) {
+        break;
+      }
+      this->reserve(step, index, run, *runner);
+      chosen.push_back(runner);
+    }
+    if (chosen.size() == step.tasks.size()) {
+      for (std::size_t i = 0; i < chosen.size(); ++i) {
+        out.placements.push_back(this->record(step, step.tasks[i], run, *chosen[i], now));
+      }
+      return true;
+    }
+    for (std::size_t i = 0; i < chosen.size(); ++i) {
+      this->release(step, step.tasks[i], run, *chosen[i]);
+    }
+  }
+  return false;
+}
+
+bool placer::known_good(const waiting_step& step, const runner_state& runner) const {
+  if (step.queue == nullptr || !step.queue->advice) {
+    return true;
+  }
+  const auto* const advice = this->state.advice.find(step.ref);
+  if (advice == nullptr) {
+    return false;
+  }
+  const auto it = advice->good.find(runner.entry.id);
+  return it != advice->good.end() && it->second;
+}
+
+// Keeps the runners that will be free for the gang first from filling up again.
+void placer::claim_runners(const waiting_step& step) {
+  std::size_t& made = this->claims[step.service.text];
+  if (made >= this->options.claiming_gangs || step.order.given_up) {
+    return;
+  }
+  std::vector<runner_state*> usable;
+  for (runner_state* runner : this->by_service[step.service.text]) {
+    if (this->known_good(step, *runner) && runner->listed && !runner->entry.draining &&
+        this->reserved(*step.shape).fits(runner->entry.capacity) &&
+        !this->claimed_by.contains(runner->entry.id)) {
+      usable.push_back(runner);
+    }
+  }
+  std::sort(usable.begin(), usable.end(), [](const runner_state* a, const runner_state* b) {
+    return a->room().accelerators > b->room().accelerators;
+  });
+  std::size_t missing = step.tasks.size();
+  for (runner_state* runner : usable) {
+    if (missing == 0) {
+      break;
+    }
+    std::size_t fits = 0;
+    resources taken = this->reserved(*step.shape);
+    while (fits < missing && taken.fits(runner->entry.capacity)) {
+      ++fits;
+      taken += this->reserved(*step.shape);
+    }
+    missing -= fits;
+    this->claimed_by.emplace(runner->entry.id, step.ref);
+  }
+  ++made;
+}
+
+bool placer::permitted(const waiting_step& step, const runner_state& runner) const {
+  if (!step.shape->required_label.empty() && !runner.has_label(step.shape->required_label)) {
+    return false;
+  }
+  // Tasks that fill would slow down the users of tasks that serve.
+  if ((step.shape->fills && runner.serving > 0) || (step.shape->serves() && runner.filling > 0)) {
+    return false;
+  }
+  if (step.shape->anti_affinity > 0) {
+    const auto same = std::count_if(
+        runner.residents.begin(), runner.residents.end(),
+        [&step](const auto& resident) { return resident.first.task.in == step.ref; });
+    return same < step.shape->anti_affinity;
+  }
+  return true;
+}
+
+bool placer::may_take(const waiting_step& step, const runner_state& runner, instant now) const {
+  const auto claim = this->claimed_by.find(runner.entry.id);
+  if (claim != this->claimed_by.end() && claim->second != step.ref) {
+    return false;
+  }
+  if (!runner.takes_work(now) || !this->reserved(*step.shape).fits(runner.room()) ||
+      !this->permitted(step, runner)) {
+    return false;
+  }
+  if (step.shape->fills && runner.room().cpu < step.shape->need.cpu) {
+    return false;  // It would get next to no processor time there.
+  }
+  return step.queue == nullptr || !step.queue->advice ||
+         !this->state.advice
+              .ticket_for(step.ref, runner.entry.id, now + this->options.ticket_margin)
+              .empty();
+}
+
+double placer::score(const waiting_step& step, const live_task& task,
+                     const runner_state& runner) const {
+  const resources room = runner.room();
+  double score = 0;
+  if (!step.shape->affinity_rack.empty() && !runner.has_label(step.shape->affinity_rack)) {
+    score += far_penalty;
+  }
+  if (task.last_failed_on == runner.entry.id) {
+    score += failed_here_penalty;
+  }
+  if (step.shape->need.accelerators.value > 0) {
+    return score +
+           free_fraction(room.accelerators.value, runner.entry.capacity.accelerators.value);
+  }
+  return score - free_fraction(room.cpu.value, runner.entry.capacity.cpu.value);
+}
+
+placer::choice placer::best_runner(const waiting_step& step, const live_task& task, instant now,
+                                   const std::string& only_rack) {
+  choice best;
+  for (runner_state* runner : this->by_service[step.service.text]) {
+    if ((!only_rack.empty() && runner->entry.rack != only_rack) ||
+        !this->may_take(step, *runner, now)) {
+      continue;
+    }
+    const double value = this->score(step, task, *runner);
+    if (best.runner == nullptr || value < best.score) {
+      best = {runner, value};
+    }
+  }
+  return best;
+}
+
+void placer::reserve(const waiting_step& step, std::int32_t index, std::int32_t run,
+                     const runner_state& runner) {
+  const team_id& tenant = step.job->submission().tenant;
+  this->state.runners.add(runner.entry.id,
+                          {{step.ref, index}, run, tenant, this->reserved(*step.shape),
+                           step.shape->need, step.shape->fills, step.shape->serves()});
+  this->state.tenants.add(tenant, step.shape->need);
+}
+
+void placer::release(const waiting_step& step, std::int32_t index, std::int32_t run,
+                     const runner_state& runner) {
+  this->state.runners.remove(runner.entry.id, {{step.ref, index}, run});
+  this->state.tenants.remove(step.job->submission().tenant, step.shape->need);
+}
+
+placement placer::record(const waiting_step& step, std::int32_t index, std::int32_t run,
+                         const runner_state& runner, instant now) {
+  const task_ref task{step.ref, index};
+  placement out{task, run, runner.entry.id, runner.entry.born, {}, {}};
+  out.ticket = this->state.advice.ticket_for(step.ref, runner.entry.id, now);
+  out.checkpoint = step.job->checkpoint_of(task);
+  step.job->place(task, run, runner.entry.id, runner.entry.born, now);
+  return out;
+}
+
+void placer::wish_for_advice(const waiting_step& step, instant now, plan& out) {
+  if (step.queue == nullptr || !step.queue->advice) {
+    return;
+  }
+  advice_book::step_advice& advice = this->state.advice.of(step.ref);
+  if (advice.asking || now < advice.retry_at) {
+    return;
+  }
+  const advice_terms& terms = *step.queue->advice;
+  const instant needed_until =
+      now + this->options.ticket_margin + millis{static_cast<std::int64_t>(terms.decide_ms) + 100};
+  std::vector<runner_state*> unasked;
+  std::vector<runner_state*> expiring;
+  for (runner_state* runner : this->by_service[step.service.text]) {
+    if (!runner->takes_work(now) || !step.shape->need.fits(runner->entry.capacity)) {
+      continue;
+    }
+    const auto known = advice.good.find(runner->entry.id);
+    if (known == advice.good.end()) {
+      unasked.push_back(runner);
+    } else if (known->second &&
+               this->state.advice.ticket_for(step.ref, runner->entry.id, needed_until).empty()) {
+      expiring.push_back(runner);
+    }
+  }
+  std::vector<runner_state*>& chosen = unasked.empty() ? expiring : unasked;
+  if (unasked.empty() && this->warmed[step.service.text]++ >= this->options.warm_steps) {
+    return;
+  }
+  if (chosen.empty()) {
+    return;
+  }
+  std::sort(chosen.begin(), chosen.end(), [](const runner_state* a, const runner_state* b) {
+    return a->room().cpu > b->room().cpu;
+  });
+  advice_wish wish{step.ref, terms, {}};
+  for (const runner_state* runner : chosen) {
+    if (wish.runners.size() >= this->options.runners_per_wish) {
+      break;
+    }
+    wish.runners.push_back(runner->entry.id);
+  }
+  out.wishes.push_back(std::move(wish));
+}
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/decide/placer.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "decide/cell_state.h"
+#include "decide/urgency.h"
+
+namespace monsoonmux::cell {
+
+// A start that was decided. The room is taken; the order may be sent once the
+// decision is in the log.
+struct placement {
+  task_ref task;
+  std::int32_t run = 0;
+  std::string runner;
+  std::int64_t runner_born = 0;
+  std::string ticket;
+  std::string checkpoint;
+};
+
+// Runners that a step wants the advice service to be asked about.
+struct advice_wish {
+  step_ref step;
+  advice_terms terms;
+  std::vector<std::string> runners;
+};
+
+struct plan {
+  std::vector<placement> placements;
+  std::vector<advice_wish> wishes;
+  std::int64_t waiting_tasks = 0;
+};
+
+struct placer_options {
+  // Runners that one question to the advice service names at most.
+  std::size_t runners_per_wish = 30;
+  // Waiting steps of one service whose tickets are renewed ahead of need.
+  std::size_t warm_steps = 4;
+  // Gangs of one service that hold runners back for themselves.
+  std::size_t claiming_gangs = 1;
+  // Time for a start to reach its runner while its ticket is still valid.
+  millis ticket_margin{150};
+};
+
+// Decides which waiting tasks start where, in one round.
+//
+// Steps go in the order of urgency. A task takes a runner that has room for it, is
+// allowed to run it, and suits it best; a gang takes all its runners or none.
+// Nothing is ever placed beyond a runner's capacity or a tenant's limit.
+//
+// It answers the load of a full cell: a round costs (waiting steps) x (runners of
+// the service), and a service without room is skipped.
+class placer {
+ public:
+  placer(cell_state& state, const placer_options& options = {});
+
+  plan decide(instant now, std::int64_t wall_ms);
+
+ private:
+  struct waiting_step {
+    urgency order;
+    step_ref ref;
+    live_job* job = nullptr;
+    const step_spec* shape = nullptr;
+    const queue_config* queue = nullptr;
+    pool_id service;
+    std::vector<std::int32_t> tasks;
+  };
+  struct choice {
+    runner_state* runner = nullptr;
+    double score = 0;
+  };
+
+  std::vector<waiting_step> collect(instant now, std::int64_t wall_ms);
+  void place_step(const waiting_step& step, instant now, plan& out);
+  void place_tasks(const waiting_step& step, instant now, plan& out);
+  bool place_gang(const waiting_step& step, instant now, plan& out);
+  void claim_runners(const waiting_step& step);
+  void wish_for_advice(const waiting_step& step, instant now, plan& out);
+  bool permitted(const waiting_step& step, const runner_state& runner) const;
+  bool may_take(const waiting_step& step, const runner_state& runner, instant now) const;
+  choice best_runner(const waiting_step& step, const live_task& task, instant now,
+                     const std::string& only_rack);
+  double score(const waiting_step& step, const live_task& task, const runner_state& runner) const;
+  bool known_good(const waiting_step& step, const runner_state& runner) const;
+  void reserve(const waiting_step& step, std::int32_t index, std::int32_t run,
+               const runner_state& runner);
+  void release(const waiting_step& step, std::int32_t index, std::int32_t run,
+               const runner_state& runner);
+  placement record(const waiting_step& step, std::int32_t index, std::int32_t run,
+                   const runner_state& runner, instant now);
+  resources reserved(const step_spec& shape) const;
+
+  cell_state& state;
+  const placer_options options;
+  // Of the round under way.
+  std::unordered_map<std::string, std::vector<runner_state*>> by_service;
+  std::unordered_map<std::string, std::size_t> warmed;
+  std::unordered_map<std::string, std::size_t> claims;
+  std::unordered_map<std::string, step_ref> claimed_by;
+};
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/decide/runner_book.cc
@@ -0,0 +1,69 @@
+#include "decide/runner_book.h"
+
+#include <algorithm>
+
+namespace monsoonmux::cell {
+
+bool runner_state::has_label(const std::string& label) const {
+  return std::find(this->entry.labels.begin(), this->entry.labels.end(), label) !=
+         this->entry.labels.end();
+}
+
+runner_state& runner_book::update(const runner_entry& entry) {
+  runner_state& state = this->by_id[entry.id];
+  state.entry = entry;
+  state.listed = true;
+  return state;
+}
+
+void runner_book::mark_unlisted(const std::string& id) {
+  if (runner_state* state = this->find(id)) {
+    state->listed = false;
+  }
+}
+
+runner_state* runner_book::find(const std::string& id) {
+  const auto it = this->by_id.find(id);
+  return it == this->by_id.end() ? nullptr : &it->second;
+}
+
+void runner_book::add(const std::string& id, const resident_run& run) {
+  runner_state& state = this->by_id[id];
+  const bool is_new = state.residents.emplace(run_key{run.task, run.run}, run).second;
+  if (!is_new) {
+    return;
+  }
+  state.used += run.reserved;
+  state.filling += run.fills ? 1 : 0;
+  state.serving += run.serves ? 1 : 0;
+}
+
+bool runner_book::remove(const std::string& id, const run_key& key) {
+  runner_state* const state = this->find(id);
+  if (state == nullptr) {
+    return false;
+  }
+  const auto it = state->residents.find(key);
+  if (it == state->residents.end()) {
+    return false;
+  }
+  state->used -= it->second.reserved;
+  state->filling -= it->second.fills ? 1 : 0;
+  state->serving -= it->second.serves ? 1 : 0;
+  state->residents.erase(it);
+  return true;
+}
+
+void runner_book::note_end(const std::string& id, bool failed, instant now) {
+  runner_state* const state = this->find(id);
+  if (state == nullptr) {
+    return;
+  }
+  state->failures_in_row = failed ? state->failures_in_row + 1 : 0;
+  if (state->failures_in_row >= this->options.failures_to_avoid) {
+    state->avoid_until = now + this->options.avoid_for;
+    state->failures_in_row = 0;
+  }
+}
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/decide/runner_book.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "base/resources.h"
+#include "decide/task_ref.h"
+#include "model/runner_entry.h"
+
+namespace monsoonmux::cell {
+
+// One run that may be on a runner, with the room that it takes there.
+struct resident_run {
+  task_ref task;
+  std::int32_t run = 0;
+  team_id tenant;
+  resources reserved;  // Counted against the runner's capacity.
+  resources counted;   // Counted against the tenant's limit.
+  bool fills = false;
+  bool serves = false;
+};
+
+// Identity of a run on a runner.
+struct run_key {
+  task_ref task;
+  std::int32_t run = 0;
+  auto operator<=>(const run_key&) const = default;
+};
+
+// One runner as its owner sees it.
+struct runner_state {
+  runner_entry entry;
+  bool listed = false;       // Its entry is in the discovery list.
+  bool admitted = false;     // It has answered under our token; room is known.
+  std::map<run_key, resident_run> residents;
+  resources used;
+  std::int32_t filling = 0;  // Residents that fill.
+  std::int32_t serving = 0;  // Residents that serve.
+  std::int32_t failures_in_row = 0;
+  instant avoid_until{0};    // Takes no new work before.
+
+  resources room() const { return this->entry.capacity - this->used; }
+  bool takes_work(instant now) const {
+    return this->listed && this->admitted && !this->entry.draining && this->avoid_until <= now;
+  }
+  bool has_label(const std::string& label) const;
+};
+
+struct runner_book_options {
+  // Failed runs in a row, of any jobs, after which a runner is left alone.
+  std::int32_t failures_to_avoid = 3;
+  millis avoid_for{8'000};
+};
+
+// All runners and what may run on them. Room is taken when a start is decided and
+// given back only when the run is known to be over, so a runner is never booked
+// beyond its capacity whatever happens to the orders between.
+class runner_book {
+ public:
+  explicit runner_book(const runner_book_options& options = {}) : options(options) {}
+
+  // Takes a new entry of the discovery list.
+  runner_state& update(const runner_entry& entry);
+  void mark_unlisted(const std::string& id);
+  runner_state* find(const std::string& id);
+  void erase(const std::string& id) { this->by_id.erase(id); }
+  std::unordered_map<std::string, runner_state>& all() { return this->by_id; }
+
+  void add(const std::string& id, const resident_run& run);
+  // Gives the room back; false if the run was not there.
+  bool remove(const std::string& id, const run_key& key);
+  // Notes how a run ended, to tell a runner that fails everything.
+  void note_end(const std::string& id, bool failed, instant now);
+
+ private:
+  const runner_book_options options;
+  std::unordered_map<std::string, runner_state> by_id;
+};
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/decide/testing/job_book_test.cc
@@ -0,0 +1,1 @@
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/src/decide/urgency.cc
@@ -0,0 +1,84 @@
+#include "decide/urgency.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace monsoonmux::cell {
+namespace {
+
+// A job that took this many times its objective is worth nothing any more.
+constexpr std::int64_t worthless_after = 3;
+// A tenant may exceed its share by this factor before it yields to others.
+constexpr double share_tolerance = 1.3;
+
+}  // namespace
+
+urgency_judge::urgency_judge(cell_state& cell, instant at, std::int64_t wall)
+    : state(cell), now(at), wall_ms(wall) {
+  for (const auto& [id, runner] : this->state.runners.all()) {
+    this->total += runner.entry.capacity;
+  }
+  this->fair = this->fair_share();
+}
+
+// The weighted share that every tenant with anything running would have if they
+// were all equal.
+double urgency_judge::fair_share() const {
+  double used = 0;
+  double weights = 0;
+  for (const tenant_config& tenant : this->state.config.tenants) {
+    const double share = dominant_share(this->state.tenants.used(tenant.name), this->total);
+    if (share > 0) {
+      used += share;
+      weights += tenant.weight;
+    }
+  }
+  return weights > 0 ? used / weights : 0;
+}
+
+millis urgency_judge::chain(const job_spec& spec, const queue_config& queue,
+                            const live_occurrence* left) const {
+  std::vector<std::int64_t> ends(spec.steps.size(), 0);
+  std::int64_t longest = 0;
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    std::int64_t start = 0;
+    for (const std::int32_t earlier : spec.steps[i].depends_on) {
+      start = std::max(start, ends[static_cast<std::size_t>(earlier)]);
+    }
+    const bool over = left != nullptr && left->steps[i].complete();
+    const millis own =
+        over ? millis{0} : this->state.run_times.expected(queue.name, spec.steps[i].estimate);
+    ends[i] = start + own.value;
+    longest = std::max(longest, ends[i]);
+  }
+  return millis{longest};
+}
+
+urgency urgency_judge::judge(const live_job& job, std::int32_t occurrence,
+                             const live_occurrence& run) const {
+  urgency out;
+  const queue_config* const queue = this->state.config.find_queue(job.submission().queue);
+  if (queue == nullptr) {
+    out.priority = INT32_MAX / 2;  // Its queue was removed; accepted work is still done.
+    return out;
+  }
+  const job_spec& spec = job.spec();
+  const millis objective{
+      std::llround(queue->stretch * static_cast<double>(this->chain(spec, *queue, nullptr).value)) +
+      queue->target_latency.value};
+  const std::int64_t since = spec.timed() ? spec.due_ms(occurrence) : job.submission().accepted_ms;
+  const millis waited{std::max<std::int64_t>(0, this->wall_ms - since)};
+  const millis left = this->chain(spec, *queue, &run);
+  out.slack = objective - waited - left;
+  out.given_up = waited + left > objective * worthless_after;
+  out.priority = queue->priority + (out.slack.value < 0 ? 1 : 0);
+  const team_id& tenant = job.submission().tenant;
+  out.over_share =
+      !tenant.empty() && this->fair > 0 &&
+      this->state.tenants.weighted_share(this->state.config, tenant, this->total) >
+          share_tolerance * this->fair;
+  return out;
+}
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/model/cell_record.cc
@@ -0,0 +1,88 @@
+// Records are cereal's binary archives behind one byte of format version, so that
+// a later version can tell them apart. All hosts share one byte order.
+
+#include "model/cell_record.h"
+
+#include <cereal/archives/binary.hpp>
+#include <sstream>
+
+namespace monsoonmux::cell {
+namespace {
+
+constexpr char format_version = 1;
+
+template <class Record>
+std::string encode_record(const Record& value) {
+  std::ostringstream out;
+  out.put(format_version);
+  cereal::BinaryOutputArchive archive(out);
+  archive(value);
+  return out.str();
+}
+
+template <class Record>
+std::optional<Record> decode_record(const std::string& bytes) {
+  if (bytes.empty() || bytes.front() != format_version) {
+    return std::nullopt;
+  }
+  try {
+    std::istringstream in(bytes.substr(1));
+    cereal::BinaryInputArchive archive(in);
+    Record value;
+    archive(value);
+    return value;
+  } catch (const std::exception&) {
+    // The caller logs the key; what cereal says of foreign bytes helps nobody.
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+std::string_view to_string(job_phase phase) {
+  switch (phase) {
+    case job_phase::queued:
+      return "queued";
+    case job_phase::running:
+      return "running";
+    case job_phase::completed:
+      return "completed";
+    case job_phase::failed:
+      return "failed";
+    case job_phase::cancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
+std::string key_of(record_kind kind, const job_id& job) {
+  return static_cast<char>(kind) + job.text;
+}
+
+std::optional<parsed_key> parse_key(std::string_view key) {
+  if (key.size() < 2) {
+    return std::nullopt;
+  }
+  const auto kind = static_cast<record_kind>(key.front());
+  if (kind != record_kind::submission && kind != record_kind::cancellation &&
+      kind != record_kind::progress) {
+    return std::nullopt;
+  }
+  return parsed_key{kind, job_id(std::string(key.substr(1)))};
+}
+
+std::string encode(const job_submission& value) { return encode_record(value); }
+std::string encode(const job_progress& value) { return encode_record(value); }
+std::string encode(const owner_claim& value) { return encode_record(value); }
+
+std::optional<job_submission> decode_submission(const std::string& bytes) {
+  return decode_record<job_submission>(bytes);
+}
+std::optional<job_progress> decode_progress(const std::string& bytes) {
+  return decode_record<job_progress>(bytes);
+}
+std::optional<owner_claim> decode_claim(const std::string& bytes) {
+  return decode_record<owner_claim>(bytes);
+}
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/model/cell_record.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/quantity.h"
+#include "model/job_spec.h"
+
+// Records that the cell keeps in the shared log. Every record stands under a key
+// and replaces the one before it, so the newest record of each key is the whole
+// state and a record may be appended twice without harm.
+namespace monsoonmux::cell {
+
+// A job as it was accepted. Written by any daemon; never changes.
+struct job_submission {
+  job_id job;
+  queue_id queue;
+  pool_id service;
+  team_id tenant;  // Empty on open queues.
+  std::int64_t accepted_ms = 0;  // Unix time in ms.
+  job_spec spec;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->job, this->queue, this->service, this->tenant, this->accepted_ms, this->spec);
+  }
+};
+
+enum class task_phase : std::uint8_t {
+  waiting,  // Nothing of it runs anywhere.
+  placed,   // A start was decided; it may run on `runner`.
+  done,
+};
+
+// One task, if anything was ever decided about it.
+struct task_progress {
+  std::int32_t step = 0;
+  std::int32_t index = 0;
+  task_phase phase = task_phase::waiting;
+  std::int32_t run = 0;       // Number of its latest start.
+  std::int32_t failures = 0;  // Runs that ended as failed.
+  std::string runner;
+  std::int64_t runner_born = 0;
+  std::string checkpoint;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->step, this->index, this->phase, this->run, this->failures, this->runner,
+            this->runner_born, this->checkpoint);
+  }
+};
+
+struct occurrence_progress {
+  std::int32_t number = 0;
+  std::vector<task_progress> tasks;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->number, this->tasks);
+  }
+};
+
+enum class job_phase : std::uint8_t { queued, running, completed, failed, cancelled };
+
+inline bool is_final(job_phase phase) {
+  return phase == job_phase::completed || phase == job_phase::failed ||
+         phase == job_phase::cancelled;
+}
+std::string_view to_string(job_phase phase);
+
+// How far a job is. Written by the owner only, under its epoch.
+struct job_progress {
+  epoch owner_epoch;
+  job_phase phase = job_phase::queued;
+  bool ever_started = false;
+  std::int32_t first_open = 0;  // All occurrences below this number are done.
+  std::vector<occurrence_progress> occurrences;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->owner_epoch, this->phase, this->ever_started, this->first_open,
+            this->occurrences);
+  }
+};
+
+// Who gives orders, from which epoch on, and where it listens for its peers.
+struct owner_claim {
+  epoch owner_epoch;
+  daemon_id owner;
+  std::uint64_t nonce = 0;  // Tells this process's claims from a former life's.
+  std::string peer_address;
+  std::uint16_t peer_port = 0;
+  bool resigned = false;    // The owner stops; anybody may claim at once.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->owner_epoch, this->owner, this->nonce, this->peer_address, this->peer_port,
+            this->resigned);
+  }
+};
+
+enum class record_kind : char { submission = 'j', cancellation = 'c', progress = 's' };
+
+// A record as the log keeps it.
+struct keyed_record {
+  std::string key;
+  std::string value;
+};
+
+std::string key_of(record_kind kind, const job_id& job);
+// The kind and job that a key names; nothing if it is not one of ours.
+struct parsed_key {
+  record_kind kind;
+  job_id job;
+};
+std::optional<parsed_key> parse_key(std::string_view key);
+
+std::string encode(const job_submission& value);
+std::string encode(const job_progress& value);
+std::string encode(const owner_claim& value);
+// Nothing if the bytes are not such a record of this version.
+std::optional<job_submission> decode_submission(const std::string& bytes);
+std::optional<job_progress> decode_progress(const std::string& bytes);
+std::optional<owner_claim> decode_claim(const std::string& bytes);
+
+}  // namespace monsoonmux::cell
