--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -5,12 +5,10 @@
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <boost/program_options.hpp>
-#include <cstdlib>
 #include <iostream>
 
 #include "daemon/front.h"
 #include "daemon/json_log.h"
-#include "platform/run.h"
 
 namespace monsoonmux {
 namespace {
@@ -44,7 +42,6 @@
   po::options_description options("monsoonmuxd, the daemon of the monsoonmux cluster scheduler");
   options.add_options()("help", "print this text and exit")("config", po::value<std::string>(),
                                                             "the settings file (YAML)")(
-      "cell", "run on the platform; MONSOONMUX_BOOT names the settings file")(
       "check-config", "check the settings file and exit: 0 if it is good, 2 if not");
   po::variables_map given;
   try {
@@ -57,14 +54,6 @@
     std::cout << options;
     return 0;
   }
-  if (given.count("cell") != 0) {
-    const char* const path = std::getenv(platform::settings_variable);
-    if (path == nullptr) {
-      std::cerr << platform::settings_variable << " is not set\n";
-      return exit_usage;
-    }
-    return platform::run_cell_daemon(path);
-  }
   if (given.count("config") == 0) {
     std::cerr << "--config is required\n" << options;
     return exit_usage;
