--- a/src/cell/advice_dispatcher.cc
+++ b/src/cell/advice_dispatcher.cc
@@ -1,3 +1,7 @@
+// A daemon's load is the work that it was asked for and has not answered. The time
+// that a call should take is only an estimate; reckoned by the clock alone, small
+// errors would add up under full load until every answer came too late.
+
 #include "cell/advice_dispatcher.h"
 
 #include <algorithm>
@@ -23,10 +27,10 @@
   peer* best = nullptr;
   for (auto& [id, p] : this->peers) {
     const bool here = id == this->self.text || now - p.heard < this->options.peer_silence;
-    if (!here || p.avoid_until > now || p.busy_until - now > this->options.most_backlog) {
+    if (!here || p.avoid_until > now || p.outstanding > this->options.most_backlog) {
       continue;
     }
-    if (best == nullptr || p.busy_until < best->busy_until) {
+    if (best == nullptr || p.outstanding < best->outstanding) {
       best = &p;
       name = id;
     }
@@ -43,10 +47,10 @@
   const instant now = this->time.now();
   const millis expected{std::llround(
       wish.terms.decide_ms + wish.terms.per_runner_ms * static_cast<double>(wish.runners.size()))};
-  chosen->busy_until = std::max(chosen->busy_until, now) + expected;
+  chosen->outstanding += expected;
   const std::int64_t number = this->next_number++;
-  this->open.emplace(number,
-                     question{wish, name, chosen->busy_until + this->options.answer_margin});
+  this->open.emplace(number, question{wish, name, expected,
+                                      now + chosen->outstanding + this->options.answer_margin});
   if (name == this->self.text) {
     this->own_desk.ask({wish.step.text(), wish.runners, expected,
                         [this, number, a = std::weak_ptr<bool>(this->alive)](
@@ -92,6 +96,7 @@
   }
   const question q = std::move(it->second);
   this->open.erase(it);
+  this->peers[q.peer].outstanding -= q.expected;
   this->deliver(q.wish.step, q.wish.runners, answered, tickets);
 }
 
@@ -106,9 +111,7 @@
   for (const std::int64_t number : over) {
     const question& q = this->open.at(number);
     this->events.write("advice_unanswered", {{"step", q.wish.step.text()}, {"daemon", q.peer}});
-    peer& p = this->peers[q.peer];
-    p.avoid_until = now + this->options.penalty;
-    p.busy_until = now;
+    this->peers[q.peer].avoid_until = now + this->options.penalty;
     this->settle(number, false, {});
   }
 }
--- a/src/cell/advice_dispatcher.h
+++ b/src/cell/advice_dispatcher.h
@@ -16,10 +16,10 @@
 struct dispatcher_options {
   // A daemon that was not heard for this long is not asked.
   millis peer_silence{1'200};
-  // Work of this length may wait at one daemon; more stays with the owner, where
-  // its order can still change.
-  millis most_backlog{250};
-  millis answer_margin{700};  // Beyond the expected duration.
+  // A daemon that has this much to do is not asked; what waits stays with the
+  // owner, where its order can still change.
+  millis most_backlog{150};
+  millis answer_margin{900};  // Beyond the expected duration of all it was asked.
   millis penalty{2'000};      // For a daemon that did not answer.
 };
 
@@ -42,12 +42,13 @@
   struct peer {
     peer_endpoint endpoint;
     instant heard{0};
-    instant busy_until{0};
+    millis outstanding{0};  // Expected duration of all that it was asked and did not answer.
     instant avoid_until{0};
   };
   struct question {
     advice_wish wish;
     std::string peer;
+    millis expected;
     instant give_up;
   };
 
--- a/src/cell/cell_daemon.cc
+++ b/src/cell/cell_daemon.cc
@@ -29,7 +29,8 @@
             [this](const peer_message& m, const peer_endpoint& from) { this->peer_said(m, from); }),
       config_feed(loop, given.log, now, out, given.sources.config_topic(), {},
                   {[this](const logged_record& r) { this->config_record(r); }, [] {}, {}}),
-      work_feed(loop, given.log, now, out, work_topic, {},
+      work_feed(loop, given.log, now, out, work_topic,
+                {.min_interval = chosen.book_interval},
                 {[this](const logged_record& r) { this->work_record(r); },
                  [this] {
                    this->front.feed(&this->book, [this] { return this->work_feed.last_contact(); });
@@ -118,6 +119,7 @@
   this->metrics.count("owner_gained");
   this->owned = at;
   this->fenced_at = -1;
+  this->work_feed.pace(this->options.owner_book_interval);
   this->begin_ownership();
 }
 
@@ -125,7 +127,8 @@
   const owner_services services{this->io,   this->ports.log, this->ports.runners, this->peers,
                                 this->advice, this->time,    this->events,        this->metrics};
   this->orders = std::make_unique<owner>(
-      services, this->options.self, this->owned, this->options.owner,
+      services, this->options.self, this->owned, this->claim.former_orders_until(),
+      this->options.owner,
       [this] { return this->claim.may_order(); },
       [this](const std::string& why) {
         asio::post(this->io, [this, why, a = this->alive] {
@@ -201,6 +204,7 @@
   this->events.write("owner_lost", {{"epoch", this->owned.value}, {"why", why}});
   this->metrics.count("owner_lost");
   this->fenced_at = -1;
+  this->work_feed.pace(this->options.book_interval);
   // Destroyed from the loop: this may be called from inside of them.
   this->retired = std::move(this->orders);
   this->retired_feed = std::move(this->runner_feed);
--- a/src/cell/cell_daemon.h
+++ b/src/cell/cell_daemon.h
@@ -29,6 +29,10 @@
   // other daemons.
   millis unready_after{1'800};
   millis discovery_interval{250};  // Between two reads of the runners' list.
+  // Between two reads of the jobs' records. The owner sees new work as soon; what
+  // callers are told elsewhere may be this old.
+  millis book_interval{120};
+  millis owner_book_interval{8};
 };
 
 // What a daemon gets from the platform.
--- a/src/cell/log_follower.cc
+++ b/src/cell/log_follower.cc
@@ -13,7 +13,8 @@
       topic(std::move(name)),
       options(given),
       on(std::move(callbacks)),
-      next_try(io) {}
+      next_try(io),
+      min_interval(given.min_interval) {}
 
 log_follower::~log_follower() { *this->alive = false; }
 
@@ -95,8 +96,8 @@
 
 void log_follower::schedule_read() {
   const millis since = this->time.now() - this->read_started;
-  if (since < this->options.min_interval) {
-    this->next_try.start(this->options.min_interval - since, [this] { this->read(); });
+  if (since < this->min_interval) {
+    this->next_try.start(this->min_interval - since, [this] { this->read(); });
     return;
   }
   this->read();
--- a/src/cell/log_follower.h
+++ b/src/cell/log_follower.h
@@ -38,6 +38,8 @@
   log_follower& operator=(const log_follower&) = delete;
 
   void start();
+  // Changes the least time between the starts of two reads.
+  void pace(millis min_interval) { this->min_interval = min_interval; }
   bool loaded() const { return this->is_loaded; }
   // All records below this offset have been delivered.
   std::int64_t position() const { return this->next; }
@@ -67,6 +69,7 @@
   bool first_page = true;
   std::int64_t next = 0;
   std::int64_t load_end = 0;
+  millis min_interval;
   std::int64_t failures = 0;
   instant contact{0};
   instant read_started{0};
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -9,15 +9,16 @@
 
 // A lease may last this much longer than asked for, on a slow clock.
 constexpr double slow_clock_factor = 1.03;
-constexpr millis inherited_margin{1'000};
+constexpr millis inherited_margin{300};
 // After advice that did not come.
 constexpr millis advice_retry{150};
 // A ticket counts as valid this much shorter than it is, for its way here.
-constexpr millis ticket_travel{60};
+constexpr millis ticket_travel{120};
 
 }  // namespace
 
-owner::owner(const owner_services& given, daemon_id name, epoch under, const owner_options& chosen,
+owner::owner(const owner_services& given, daemon_id name, epoch under,
+             instant former_orders_until, const owner_options& chosen,
              std::function<bool()> may, std::function<void(const std::string&)> over)
     : services(given),
       self(std::move(name)),
@@ -39,8 +40,7 @@
       ticker(given.io) {
   const auto longest_lease = static_cast<std::int64_t>(
       static_cast<double>(chosen.session.hold_max.value) * slow_clock_factor);
-  this->inherited_until = given.time.now() + chosen.former_orders + millis{longest_lease} +
-                          inherited_margin;
+  this->inherited_until = former_orders_until + millis{longest_lease} + inherited_margin;
 }
 
 owner::~owner() = default;
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -19,8 +19,6 @@
 struct owner_options {
   session_options session;
   placer_options placement;
-  // How long a former owner may have gone on giving orders.
-  millis former_orders{12'000};
   millis plan_delay{2};  // Changes within this time are planned for together.
   millis tick{50};
   millis stop_grace{900};
@@ -47,7 +45,9 @@
 // start nothing that this one does not know.
 class owner final : public session_events {
  public:
-  owner(const owner_services& services, daemon_id self, epoch at, const owner_options& options,
+  // No former owner gave an order after `former_orders_until`.
+  owner(const owner_services& services, daemon_id self, epoch at, instant former_orders_until,
+        const owner_options& options,
         std::function<bool()> may_order, std::function<void(const std::string&)> on_over);
   ~owner() override;
 
--- a/src/cell/ownership.cc
+++ b/src/cell/ownership.cc
@@ -66,6 +66,7 @@
     // A claim whose answer was lost.
     this->is_owner = true;
     this->renewed = this->renewal_sent;
+    this->former_until = this->time.now() + this->options.orders_after_renewal;
     this->on.on_gained(seen->owner_epoch);
   } else if (!mine && this->is_owner) {
     this->lose("claimed by " + seen->owner.text);
@@ -132,7 +133,9 @@
   next.peer_address = this->options.peer_address;
   next.peer_port = this->options.peer_port;
   this->renewal_sent = this->time.now();
-  this->append_claim(next, [this, next, sent = this->renewal_sent](const append_answer& answer) {
+  const instant former = this->heard + this->options.orders_after_renewal;
+  this->append_claim(next, [this, next, former,
+                            sent = this->renewal_sent](const append_answer& answer) {
     if (answer.status != append_status::done || this->is_owner) {
       return;
     }
@@ -140,6 +143,8 @@
     this->end = std::max(this->end, answer.end);
     this->is_owner = true;
     this->renewed = sent;
+    // The append shows that nobody renewed since the last claim was heard.
+    this->former_until = former;
     this->on.on_gained(next.owner_epoch);
   });
 }
--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -24,7 +24,7 @@
   millis stagger{500};
   // After its last renewal an owner gives orders no longer than this. Its
   // successor counts on it for runners that it cannot reach.
-  millis orders_after_renewal{12'000};
+  millis orders_after_renewal{3'500};
 };
 
 // Who gives orders: the daemon whose claim is the newest record of its topic.
@@ -50,6 +50,8 @@
   bool owner() const { return this->is_owner; }
   // True while orders may still be given under this claim.
   bool may_order() const;
+  // A former owner gave no order after this; known at the gain of ownership.
+  instant former_orders_until() const { return this->former_until; }
   // The newest claim; nothing if there was none yet.
   const std::optional<owner_claim>& newest() const { return this->claim; }
   // Gives the claim up, so that another daemon claims at once.
@@ -76,6 +78,7 @@
   std::optional<owner_claim> claim;
   std::int64_t end = 0;
   instant heard{0};
+  instant former_until{0};
   instant renewed{0};
   instant renewal_sent{0};
   bool is_owner = false;
