--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -370,9 +370,18 @@
 }
 
 void owner::request_plan() {
-  if (this->is_active && !this->plan_timer.pending()) {
-    this->plan_timer.start(this->options.plan_delay, [this] { this->make_plan(); });
+  if (!this->is_active || this->plan_timer.pending()) {
+    return;
   }
+  const instant earliest = this->plan_ended + this->plan_took * this->options.plan_pause;
+  const millis pause = earliest - this->services.time.now();
+  this->plan_timer.start(std::max(this->options.plan_delay, pause), [this] {
+    const instant begin = this->services.time.now();
+    this->make_plan();
+    this->plan_ended = this->services.time.now();
+    this->plan_took = this->plan_ended - begin;
+    this->services.metrics.observe("plan", this->plan_took);
+  });
 }
 
 void owner::make_plan() {
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -20,6 +20,8 @@
   session_options session;
   placer_options placement;
   millis plan_delay{2};  // Changes within this time are planned for together.
+  // After a round, this many times its duration is left to everything else.
+  std::int64_t plan_pause = 2;
   millis tick{50};
   millis stop_grace{900};
 };
@@ -108,6 +110,8 @@
   timer ticker;
   std::map<std::string, std::unique_ptr<runner_session>> sessions;
   instant inherited_until;
+  instant plan_ended{0};
+  millis plan_took{0};
   bool is_active = false;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/src/decide/advice_book.cc
+++ b/src/decide/advice_book.cc
@@ -2,6 +2,17 @@
 
 namespace monsoonmux::cell {
 
+const std::string* advice_book::step_advice::ticket_for(const std::string& runner,
+                                                        instant when) const {
+  const auto it = this->tickets.find(runner);
+  return it != this->tickets.end() && when < it->second.valid_until ? &it->second.text : nullptr;
+}
+
+bool advice_book::step_advice::known_good(const std::string& runner) const {
+  const auto it = this->good.find(runner);
+  return it != this->good.end() && it->second;
+}
+
 const advice_book::step_advice* advice_book::find(const step_ref& step) const {
   const auto it = this->steps.find(step);
   return it == this->steps.end() ? nullptr : &it->second;
@@ -23,12 +34,9 @@
 std::string advice_book::ticket_for(const step_ref& step, const std::string& runner,
                                     instant now) const {
   const step_advice* const advice = this->find(step);
-  if (advice == nullptr) {
-    return {};
-  }
-  const auto it = advice->tickets.find(runner);
-  const bool valid = it != advice->tickets.end() && now < it->second.valid_until;
-  return valid ? it->second.text : std::string();
+  const std::string* const text =
+      advice != nullptr ? advice->ticket_for(runner, now) : nullptr;
+  return text != nullptr ? *text : std::string();
 }
 
 void advice_book::drop_ticket(const step_ref& step, const std::string& runner) {
--- a/src/decide/advice_book.h
+++ b/src/decide/advice_book.h
@@ -26,14 +26,18 @@
 class advice_book {
  public:
   struct step_advice {
-    std::map<std::string, bool> good;  // By runner, as far as asked.
+    std::unordered_map<std::string, bool> good;  // By runner, as far as asked.
     struct held_ticket {
       std::string text;
       instant valid_until;
     };
-    std::map<std::string, held_ticket> tickets;
+    std::unordered_map<std::string, held_ticket> tickets;
     bool asking = false;
     instant retry_at{0};
+
+    // The ticket for a start at `when`; null if there is none that is still valid.
+    const std::string* ticket_for(const std::string& runner, instant when) const;
+    bool known_good(const std::string& runner) const;
   };
 
   step_advice& of(const step_ref& step) { return this->steps[step]; }
--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -33,15 +33,13 @@
 }
 
 plan placer::decide(instant now, std::int64_t wall_ms) {
-  this->by_service.clear();
-  this->warmed.clear();
-  this->claims.clear();
+  this->services.clear();
   this->claimed_by.clear();
   for (auto& [id, runner] : this->state.runners.all()) {
-    this->by_service[runner.entry.service.text].push_back(&runner);
+    this->services[runner.entry.service.text].runners.push_back(&runner);
   }
   plan out;
-  for (const waiting_step& step : this->collect(now, wall_ms)) {
+  for (waiting_step& step : this->collect(now, wall_ms)) {
     out.waiting_tasks += static_cast<std::int64_t>(step.tasks.size());
     this->place_step(step, now, out);
   }
@@ -91,50 +89,57 @@
   return out;
 }
 
-void placer::place_step(const waiting_step& step, instant now, plan& out) {
-  if (step.shape->gang) {
-    if (!this->place_gang(step, now, out)) {
-      this->claim_runners(step);
-      this->wish_for_advice(step, now, out);
-    }
+void placer::place_step(waiting_step& step, instant now, plan& out) {
+  service_round& round = this->services[step.service.text];
+  if (round.blocked >= this->options.blocked_steps) {
     return;
   }
-  const std::size_t before = out.placements.size();
-  this->place_tasks(step, now, out);
-  if (out.placements.size() - before < step.tasks.size()) {
-    this->wish_for_advice(step, now, out);
+  if (step.queue != nullptr && step.queue->advice) {
+    step.advice = &this->state.advice.of(step.ref);
+  }
+  if (!step.shape->gang) {
+    if (this->place_tasks(step, now, out)) {
+      return;
+    }
+  } else if (this->place_gang(step, now, out)) {
+    return;
+  } else {
+    this->claim_runners(step);
   }
+  ++round.blocked;
+  this->wish_for_advice(step, now, out);
 }
 
-void placer::place_tasks(const waiting_step& step, instant now, plan& out) {
+bool placer::place_tasks(const waiting_step& step, instant now, plan& out) {
   live_occurrence& occurrence = step.job->occurrences().at(step.ref.occurrence);
   live_step& tasks = occurrence.steps[static_cast<std::size_t>(step.ref.step)];
   for (const std::int32_t index : step.tasks) {
     if (!this->state.tenants.fits(this->state.config, step.job->submission().tenant,
                                   step.shape->need)) {
-      return;
+      return true;
     }
     const choice best =
         this->best_runner(step, tasks.tasks[static_cast<std::size_t>(index)], now, {});
     if (best.runner == nullptr) {
-      return;
+      return false;
     }
     const std::int32_t run = step.job->next_run({step.ref, index});
     this->reserve(step, index, run, *best.runner);
     out.placements.push_back(this->record(step, index, run, *best.runner, now));
   }
+  return true;
 }
 
 bool placer::place_gang(const waiting_step& step, instant now, plan& out) {
   const auto members = static_cast<std::int64_t>(step.tasks.size());
   if (!this->state.tenants.fits(this->state.config, step.job->submission().tenant,
                                 step.shape->need * members)) {
-    return false;
+    return true;  // Waits for its tenant's limit, not for runners.
   }
   // One rack first, if that matters; then any.
   std::vector<std::string> racks;
   if (step.shape->same_rack) {
-    for (const runner_state* runner : this->by_service[step.service.text]) {
+    for (const runner_state* runner : this->services[step.service.text].runners) {
       racks.push_back(runner->entry.rack);
     }
     std::sort(racks.begin(), racks.end());
@@ -168,27 +173,15 @@
   return false;
 }
 
-bool placer::known_good(const waiting_step& step, const runner_state& runner) const {
-  if (step.queue == nullptr || !step.queue->advice) {
-    return true;
-  }
-  const auto* const advice = this->state.advice.find(step.ref);
-  if (advice == nullptr) {
-    return false;
-  }
-  const auto it = advice->good.find(runner.entry.id);
-  return it != advice->good.end() && it->second;
-}
-
 // Keeps the runners that will be free for the gang first from filling up again.
 void placer::claim_runners(const waiting_step& step) {
-  std::size_t& made = this->claims[step.service.text];
+  std::size_t& made = this->services[step.service.text].claims;
   if (made >= this->options.claiming_gangs || step.order.given_up) {
     return;
   }
   std::vector<runner_state*> usable;
-  for (runner_state* runner : this->by_service[step.service.text]) {
-    if (this->known_good(step, *runner) && runner->listed && !runner->entry.draining &&
+  for (runner_state* runner : this->services[step.service.text].runners) {
+    if ((step.advice == nullptr || step.advice->known_good(runner->entry.id)) && runner->listed && !runner->entry.draining &&
         this->reserved(*step.shape).fits(runner->entry.capacity) &&
         !this->claimed_by.contains(runner->entry.id)) {
       usable.push_back(runner);
@@ -243,10 +236,8 @@
   if (step.shape->fills && runner.room().cpu < step.shape->need.cpu) {
     return false;  // It would get next to no processor time there.
   }
-  return step.queue == nullptr || !step.queue->advice ||
-         !this->state.advice
-              .ticket_for(step.ref, runner.entry.id, now + this->options.ticket_margin)
-              .empty();
+  return step.advice == nullptr ||
+         step.advice->ticket_for(runner.entry.id, now + this->options.ticket_margin) != nullptr;
 }
 
 double placer::score(const waiting_step& step, const live_task& task,
@@ -269,7 +260,7 @@
 placer::choice placer::best_runner(const waiting_step& step, const live_task& task, instant now,
                                    const std::string& only_rack) {
   choice best;
-  for (runner_state* runner : this->by_service[step.service.text]) {
+  for (runner_state* runner : this->services[step.service.text].runners) {
     if ((!only_rack.empty() && runner->entry.rack != only_rack) ||
         !this->may_take(step, *runner, now)) {
       continue;
@@ -308,37 +299,33 @@
 }
 
 void placer::wish_for_advice(const waiting_step& step, instant now, plan& out) {
-  if (step.queue == nullptr || !step.queue->advice) {
-    return;
-  }
-  advice_book::step_advice& advice = this->state.advice.of(step.ref);
-  if (advice.asking || now < advice.retry_at) {
+  if (step.advice == nullptr || step.advice->asking || now < step.advice->retry_at) {
     return;
   }
   const advice_terms& terms = *step.queue->advice;
   const instant needed_until =
       now + this->options.ticket_margin + millis{static_cast<std::int64_t>(terms.decide_ms) + 100};
+  service_round& round = this->services[step.service.text];
   std::vector<runner_state*> unasked;
   std::vector<runner_state*> expiring;
-  for (runner_state* runner : this->by_service[step.service.text]) {
+  for (runner_state* runner : round.runners) {
     if (!runner->takes_work(now) || !step.shape->need.fits(runner->entry.capacity)) {
       continue;
     }
-    const auto known = advice.good.find(runner->entry.id);
-    if (known == advice.good.end()) {
+    if (!step.advice->good.contains(runner->entry.id)) {
       unasked.push_back(runner);
-    } else if (known->second &&
-               this->state.advice.ticket_for(step.ref, runner->entry.id, needed_until).empty()) {
+    } else if (step.advice->known_good(runner->entry.id) &&
+               step.advice->ticket_for(runner->entry.id, needed_until) == nullptr) {
       expiring.push_back(runner);
     }
   }
-  std::vector<runner_state*>& chosen = unasked.empty() ? expiring : unasked;
-  if (unasked.empty() && this->warmed[step.service.text]++ >= this->options.warm_steps) {
-    return;
-  }
-  if (chosen.empty()) {
+  const bool first_time = !unasked.empty();
+  std::vector<runner_state*>& chosen = first_time ? unasked : expiring;
+  std::size_t& made = first_time ? round.asked : round.warmed;
+  if (chosen.empty() || made >= (first_time ? this->options.questions : this->options.warm_steps)) {
     return;
   }
+  ++made;
   std::sort(chosen.begin(), chosen.end(), [](const runner_state* a, const runner_state* b) {
     return a->room().cpu > b->room().cpu;
   });
--- a/src/decide/placer.h
+++ b/src/decide/placer.h
@@ -36,7 +36,12 @@
   // Runners that one question to the advice service names at most.
   std::size_t runners_per_wish = 30;
   // Waiting steps of one service whose tickets are renewed ahead of need.
-  std::size_t warm_steps = 4;
+  std::size_t warm_steps = 6;
+  // Steps of one service that a round asks about for the first time.
+  std::size_t questions = 16;
+  // After so many steps of one service that found no runner, a round leaves the
+  // less urgent ones alone; bounds what a round costs in an overloaded cell.
+  std::size_t blocked_steps = 64;
   // Gangs of one service that hold runners back for themselves.
   std::size_t claiming_gangs = 1;
   // Time for a start to reach its runner while its ticket is still valid.
@@ -65,6 +70,7 @@
     const step_spec* shape = nullptr;
     const queue_config* queue = nullptr;
     pool_id service;
+    advice_book::step_advice* advice = nullptr;  // Null: the queue needs none.
     std::vector<std::int32_t> tasks;
   };
   struct choice {
@@ -73,8 +79,9 @@
   };
 
   std::vector<waiting_step> collect(instant now, std::int64_t wall_ms);
-  void place_step(const waiting_step& step, instant now, plan& out);
-  void place_tasks(const waiting_step& step, instant now, plan& out);
+  void place_step(waiting_step& step, instant now, plan& out);
+  // True if the step only waits for room or tickets, not for its tenant's limit.
+  bool place_tasks(const waiting_step& step, instant now, plan& out);
   bool place_gang(const waiting_step& step, instant now, plan& out);
   void claim_runners(const waiting_step& step);
   void wish_for_advice(const waiting_step& step, instant now, plan& out);
@@ -95,9 +102,14 @@
   cell_state& state;
   const placer_options options;
   // Of the round under way.
-  std::unordered_map<std::string, std::vector<runner_state*>> by_service;
-  std::unordered_map<std::string, std::size_t> warmed;
-  std::unordered_map<std::string, std::size_t> claims;
+  struct service_round {
+    std::vector<runner_state*> runners;
+    std::size_t warmed = 0;
+    std::size_t asked = 0;
+    std::size_t claims = 0;
+    std::size_t blocked = 0;
+  };
+  std::unordered_map<std::string, service_round> services;
   std::unordered_map<std::string, step_ref> claimed_by;
 };
 
