--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -123,7 +123,7 @@
   order.last_seen = this->stored;
   const bool calm = this->admitted && !ends_unstored && this->failed_looks == 0;
   order.wait = calm && !this->runs.empty() ? this->options.look_wait : millis{0};
-  if (this->admitted) {
+  if (this->admitted && this->failed_looks <= this->options.renewals_unanswered) {
     order.until_ms = this->lease_until();
     this->lapse_at = std::max(this->lapse_at, now + lapse_time(this->options.hold_max));
   }
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -19,6 +19,9 @@
   millis retry{200};           // After an order that got no answer.
   std::int32_t start_tries = 3;  // Then the run is closed by a stop.
   millis lost_probe{1'000};    // Between looks at a runner that does not answer.
+  // After this many looks without an answer the lease is renewed no more, since a
+  // renewal that may have arrived puts off the time at which it has surely lapsed.
+  std::int32_t renewals_unanswered = 1;
 };
 
 // What a session tells its owner.
--- a/src/decide/live_job.cc
+++ b/src/decide/live_job.cc
@@ -64,7 +64,7 @@
     return;
   }
   this->state = progress->phase;
-  this->ever_started = progress->ever_started;
+  this->begun = progress->ever_started;
   this->first_open = progress->first_open;
   this->next_occurrence = progress->first_open;
   for (const occurrence_progress& saved : progress->occurrences) {
@@ -144,7 +144,6 @@
   t.runner = runner;
   t.runner_born = runner_born;
   t.placed_at = now;
-  this->ever_started = true;
   if (this->state == job_phase::queued) {
     this->state = job_phase::running;
   }
@@ -179,6 +178,8 @@
     return effect;
   }
   effect.counted = true;
+  // A run that was lost may never have begun.
+  this->begun = this->begun || how != run_end::lost;
   live_step& step = this->open.at(task.in.occurrence).steps[static_cast<std::size_t>(task.in.step)];
   const step_spec& shape = this->spec().steps[static_cast<std::size_t>(task.in.step)];
   if (!checkpoint.empty()) {
@@ -281,7 +282,7 @@
   job_progress out;
   out.owner_epoch = owner_epoch;
   out.phase = this->state;
-  out.ever_started = this->ever_started;
+  out.ever_started = this->begun || this->has_placed_tasks();
   out.first_open = this->first_open;
   for (const auto& [number, occurrence] : this->open) {
     occurrence_progress saved;
--- a/src/decide/live_job.h
+++ b/src/decide/live_job.h
@@ -95,7 +95,7 @@
   std::int32_t max_attempts;
   instant since;
   job_phase state = job_phase::queued;
-  bool ever_started = false;
+  bool begun = false;  // Some run of it was on a runner.
   std::int32_t first_open = 0;
   std::int32_t next_occurrence = 0;
   std::map<std::int32_t, live_occurrence> open;
