--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -96,9 +96,11 @@
   }
   const team_id& tenant = job.submission().tenant;
   this->state.runners.add(
-      t.runner, {task, t.run, tenant, reserved, shape.need, shape.fills, shape.serves()});
+      t.runner, {task, t.run, tenant, reserved, shape.need, shape.fills, shape.serves(),
+                 this->services.time.now(),
+                 shape.long_running ? millis{0} : shape.estimate});
   this->state.tenants.add(tenant, shape.need);
-  this->session_of(t.runner).recover({task, t.run}, t.runner_born);
+  this->session_of(t.runner).recover({task, t.run});
 }
 
 std::int32_t owner::attempts_of(const job_submission& submission) const {
@@ -253,7 +255,8 @@
     this->state.runners.note_end(runner, how == run_end::failed, this->services.time.now());
   }
   if (how == run_end::done) {
-    this->state.run_times.note(job.submission().queue, this->services.time.now() - placed_at);
+    this->state.run_times.note(job.submission().queue, runner,
+                               this->services.time.now() - placed_at);
   } else {
     this->services.events.write("run_ended", {{"task", run.task.text()},
                                               {"run", run.run},
@@ -364,6 +367,7 @@
   for (auto& [id, session] : this->sessions) {
     session->tick();
   }
+  this->state.runners.avoid_stalled(this->services.time.now());
   this->request_plan();
 }
 
--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -82,10 +82,9 @@
   this->look();
 }
 
-void runner_session::recover(const run_key& run, std::int64_t born_at) {
+void runner_session::recover(const run_key& run) {
   link& l = this->runs[run];
   l.recovered = true;
-  l.born = born_at;
 }
 
 // A lower bound of the runner's clock.
@@ -188,23 +187,12 @@
   this->close_missing(report, sent);
 }
 
+// What ran in the former life is over, but a start may have reached the new one
+// already. The report that follows tells which: close_missing() takes the others.
 void runner_session::reborn(std::int64_t now_born) {
   this->events.write("runner_reborn", {{"runner", this->id}, {"born", now_born}});
   this->seen = 0;
   this->stored = 0;
-  std::vector<run_key> over;
-  for (auto& [run, l] : this->runs) {
-    const bool may_come_late = l.unanswered > 0 && l.answered_at == instant{0};
-    if (may_come_late) {
-      l.stopping = true;  // The start may still reach the new incarnation.
-    } else {
-      over.push_back(run);
-    }
-  }
-  for (const run_key& run : over) {
-    this->runs.erase(run);
-    this->owner.run_gone(this->id, run, "runner_reborn");
-  }
 }
 
 void runner_session::take_ends(const hold_report& report) {
@@ -277,7 +265,6 @@
 void runner_session::start(const run_key& run, std::string payload, std::string ticket,
                            std::string checkpoint) {
   link& l = this->runs[run];
-  l.born = this->born;
   l.order.task = run.task.text();
   l.order.run = run.run;
   l.order.payload = std::move(payload);
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -59,7 +59,7 @@
   void update(const runner_entry& entry);
   void unlist() { this->listed = false; }
   // A run that a former owner may have started there.
-  void recover(const run_key& run, std::int64_t born);
+  void recover(const run_key& run);
   void start(const run_key& run, std::string payload, std::string ticket, std::string checkpoint);
   void stop(const run_key& run);
   void ends_stored(std::int64_t number);
@@ -69,7 +69,6 @@
 
  private:
   struct link {
-    std::int64_t born = 0;       // Incarnation that it was started on.
     bool recovered = false;
     instant answered_at{0};      // Of a start or stop; 0: none yet.
     std::int32_t unanswered = 0; // Starts without an answer.
--- a/src/cell/testing/cell_test.cc
+++ b/src/cell/testing/cell_test.cc
@@ -246,6 +246,11 @@
 }
 
 TEST_CASE("Whatever fails, nothing accepted is lost and nothing runs twice") {
+  // To trace a seed: MONSOONMUX_ONLY_SEED plays just its day and prints it.
+  if (const char* const only = std::getenv("MONSOONMUX_ONLY_SEED")) {
+    random_day(static_cast<std::uint32_t>(std::atoi(only)));
+    return;
+  }
   for (std::uint32_t seed = 1; seed <= seed_count(); ++seed) {
     random_day(seed);
   }
--- a/src/cell/testing/fake_cell.h
+++ b/src/cell/testing/fake_cell.h
@@ -58,7 +58,7 @@
 class fake_cell {
  public:
   fake_cell(int daemon_count, int runner_count, std::uint32_t seed)
-      : store(loop, seed), random(seed), events(open_null(), loop, "test") {
+      : events(log_descriptor(), loop, "test"), store(loop, seed), random(seed) {
     queue_config queue;
     queue.name = queue_id("q");
     queue.host = "h";
@@ -71,7 +71,7 @@
     this->config.services.push_back({pool_id("s"), false, false});
     for (int i = 0; i < runner_count; ++i) {
       this->runners.push_back(std::make_unique<fake_runner>(
-          this->loop, this->history, "i-" + std::to_string(i), runner_size, seed + i));
+          this->loop, this->history, this->events, "i-" + std::to_string(i), runner_size, seed + i));
       this->store.put("runners", this->runners.back()->entry.id, "1");
     }
     this->store.put("op", "config", "1");
@@ -159,15 +159,17 @@
     return spec;
   }
 
-  static int open_null() { return ::open("/dev/null", O_WRONLY); }
+  static int log_descriptor() {
+    return std::getenv("MONSOONMUX_ONLY_SEED") != nullptr ? 1 : ::open("/dev/null", O_WRONLY);
+  }
   static constexpr resources runner_size{millicores{4'000}, mebibytes{4'000}, devices{0}};
 
   fake_loop loop;
+  event_log events;
   fake_store store;
   run_history history;
   std::mt19937 random;
   cell_config config;
-  event_log events;
   std::vector<std::unique_ptr<fake_runner>> runners;
   std::vector<std::unique_ptr<node>> nodes;
   std::set<std::string> accepted;
--- a/src/cell/testing/fake_runners.h
+++ b/src/cell/testing/fake_runners.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "async/event_log.h"
 #include "cell/runner_port.h"
 #include "cell/testing/fake_loop.h"
 #include "decide/task_ref.h"
@@ -31,9 +32,9 @@
 // numbered ends that are listed until noted, late orders.
 class fake_runner {
  public:
-  fake_runner(fake_loop& loop, run_history& history, std::string id, resources capacity,
-              std::uint32_t seed)
-      : loop(loop), history(history), random(seed) {
+  fake_runner(fake_loop& loop, run_history& history, event_log& events, std::string id,
+              resources capacity, std::uint32_t seed)
+      : loop(loop), history(history), events(events), random(seed) {
     this->entry.id = std::move(id);
     this->entry.service = pool_id("s");
     this->entry.address = this->entry.id + ":1";
@@ -132,9 +133,14 @@
 
   bool has_ends() const { return !this->finished.empty(); }
 
+  void say(const std::string& what, const std::string& task, int run) {
+    this->events.write(what, {{"task", task}, {"run", run}, {"runner", this->entry.id}});
+  }
+
   // Everything on it ends; it comes back under the same id.
   void crash() {
     this->up = false;
+    this->say("runner_crashes", "", 0);
     for (const auto& [task, run] : this->runs) {
       --this->history.running[task];
     }
@@ -142,6 +148,7 @@
   }
   void restart() {
     this->up = true;
+    this->say("runner_restarts", "", 0);
     this->finished.clear();
     this->closed.clear();
     this->token = epoch{0};
@@ -172,6 +179,7 @@
 
   void begin(const start_order& order) {
     ++this->history.starts;
+    this->say("runner_starts", order.task, order.run);
     if (this->history.done_noted.contains(order.task)) {
       this->history.fail(this->loop.now(), order.task + " starts after its end was noted");
     }
@@ -188,6 +196,7 @@
   }
 
   void finish(const std::string& task, const run_state& run, run_end how) {
+    this->say("runner_ends_" + std::string(to_string(how)), task, run.run);
     this->finished.push_back({this->next_end++, task, run.run, how, {}});
     int& highest = this->closed[task];
     highest = std::max(highest, run.run);
@@ -215,6 +224,7 @@
 
   fake_loop& loop;
   run_history& history;
+  event_log& events;
   std::mt19937 random;
   std::map<std::string, run_state> runs;
   std::map<std::string, int> closed;
--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -15,6 +15,8 @@
 // task has just failed outweighs both.
 constexpr double far_penalty = 10;
 constexpr double failed_here_penalty = 100;
+// A runner that takes twice as long is taken after any emptier, faster one.
+constexpr double slowness_weight = 1;
 
 double free_fraction(std::int64_t room, std::int64_t capacity) {
   return capacity > 0 ? static_cast<double>(room) / static_cast<double>(capacity) : 0;
@@ -124,7 +126,7 @@
       return false;
     }
     const std::int32_t run = step.job->next_run({step.ref, index});
-    this->reserve(step, index, run, *best.runner);
+    this->reserve(step, index, run, *best.runner, now);
     out.placements.push_back(this->record(step, index, run, *best.runner, now));
   }
   return true;
@@ -157,7 +159,7 @@
       if (runner == nullptr) {
         break;
       }
-      this->reserve(step, index, run, *runner);
+      this->reserve(step, index, run, *runner, now);
       chosen.push_back(runner);
     }
     if (chosen.size() == step.tasks.size()) {
@@ -250,6 +252,7 @@
   if (task.last_failed_on == runner.entry.id) {
     score += failed_here_penalty;
   }
+  score += slowness_weight * this->state.run_times.slowness(runner.entry.id);
   if (step.shape->need.accelerators.value > 0) {
     return score +
            free_fraction(room.accelerators.value, runner.entry.capacity.accelerators.value);
@@ -273,12 +276,20 @@
   return best;
 }
 
+millis placer::expected_time(const waiting_step& step) const {
+  if (step.shape->long_running) {
+    return millis{0};
+  }
+  return this->state.run_times.expected(step.job->submission().queue, step.shape->estimate);
+}
+
 void placer::reserve(const waiting_step& step, std::int32_t index, std::int32_t run,
-                     const runner_state& runner) {
+                     const runner_state& runner, instant now) {
   const team_id& tenant = step.job->submission().tenant;
   this->state.runners.add(runner.entry.id,
                           {{step.ref, index}, run, tenant, this->reserved(*step.shape),
-                           step.shape->need, step.shape->fills, step.shape->serves()});
+                           step.shape->need, step.shape->fills, step.shape->serves(), now,
+                           this->expected_time(step)});
   this->state.tenants.add(tenant, step.shape->need);
 }
 
--- a/src/decide/placer.h
+++ b/src/decide/placer.h
@@ -91,8 +91,9 @@
                      const std::string& only_rack);
   double score(const waiting_step& step, const live_task& task, const runner_state& runner) const;
   bool known_good(const waiting_step& step, const runner_state& runner) const;
+  millis expected_time(const waiting_step& step) const;
   void reserve(const waiting_step& step, std::int32_t index, std::int32_t run,
-               const runner_state& runner);
+               const runner_state& runner, instant now);
   void release(const waiting_step& step, std::int32_t index, std::int32_t run,
                const runner_state& runner);
   placement record(const waiting_step& step, std::int32_t index, std::int32_t run,
--- a/src/decide/run_time_book.cc
+++ b/src/decide/run_time_book.cc
@@ -1,5 +1,6 @@
 #include "decide/run_time_book.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace monsoonmux::cell {
@@ -7,19 +8,36 @@
 
 // Weight of the newest sample: about the last 20 count.
 constexpr double newest_weight = 0.05;
+// A runner has fewer samples, and may turn slow at any time.
+constexpr double newest_runner_weight = 0.15;
+// One task says no more than this about its runner.
+constexpr double least_ratio = 0.25;
+constexpr double most_ratio = 4;
+// Samples of a queue before its mean says anything about runners.
+constexpr std::int64_t enough_samples = 5;
 
 }  // namespace
 
-void run_time_book::note(const queue_id& queue, millis taken) {
-  const auto [it, is_first] = this->mean_ms.emplace(queue, static_cast<double>(taken.value));
-  if (!is_first) {
-    it->second += newest_weight * (static_cast<double>(taken.value) - it->second);
+void run_time_book::note(const queue_id& queue, const std::string& runner, millis taken) {
+  const auto value = static_cast<double>(taken.value);
+  seen_times& seen = this->by_queue[queue];
+  if (seen.count >= enough_samples && seen.mean_ms > 0) {
+    const double ratio = std::clamp(value / seen.mean_ms, least_ratio, most_ratio);
+    double& slowness = this->slowness_by_runner.try_emplace(runner, 1.0).first->second;
+    slowness += newest_runner_weight * (ratio - slowness);
   }
+  seen.mean_ms = seen.count == 0 ? value : seen.mean_ms + newest_weight * (value - seen.mean_ms);
+  ++seen.count;
+}
+
+double run_time_book::slowness(const std::string& runner) const {
+  const auto it = this->slowness_by_runner.find(runner);
+  return it == this->slowness_by_runner.end() ? 1.0 : it->second;
 }
 
 millis run_time_book::expected(const queue_id& queue, millis declared) const {
-  const auto it = this->mean_ms.find(queue);
-  return it == this->mean_ms.end() ? declared : millis{std::llround(it->second)};
+  const auto it = this->by_queue.find(queue);
+  return it == this->by_queue.end() ? declared : millis{std::llround(it->second.mean_ms)};
 }
 
 }  // namespace monsoonmux::cell
--- a/src/decide/runner_book.cc
+++ b/src/decide/runner_book.cc
@@ -54,6 +54,23 @@
   return true;
 }
 
+void runner_book::avoid_stalled(instant now) {
+  for (auto& [id, runner] : this->by_id) {
+    std::int32_t overdue = 0;
+    std::int32_t others = 0;
+    for (const auto& [key, run] : runner.residents) {
+      if (run.expected.value <= 0) {
+        continue;
+      }
+      const bool late = now - run.since > run.expected * this->options.overdue_factor;
+      ++(late ? overdue : others);
+    }
+    if (overdue >= this->options.overdue_runs && overdue >= others) {
+      runner.avoid_until = std::max(runner.avoid_until, now + this->options.avoid_stalled_for);
+    }
+  }
+}
+
 void runner_book::note_end(const std::string& id, bool failed, instant now) {
   runner_state* const state = this->find(id);
   if (state == nullptr) {
--- a/src/decide/runner_book.h
+++ b/src/decide/runner_book.h
@@ -22,6 +22,8 @@
   resources counted;   // Counted against the tenant's limit.
   bool fills = false;
   bool serves = false;
+  instant since;                 // When its start was decided.
+  millis expected{0};            // Usual duration; 0: it lasts.
 };
 
 // Identity of a run on a runner.
@@ -54,6 +56,11 @@
   // Failed runs in a row, of any jobs, after which a runner is left alone.
   std::int32_t failures_to_avoid = 3;
   millis avoid_for{8'000};
+  // A run is overdue at this many times its usual duration. A runner with as many
+  // overdue runs, and no more than as many others, stands still.
+  std::int64_t overdue_factor = 3;
+  std::int32_t overdue_runs = 2;
+  millis avoid_stalled_for{1'000};
 };
 
 // All runners and what may run on them. Room is taken when a start is decided and
@@ -73,6 +80,8 @@
   void add(const std::string& id, const resident_run& run);
   // Gives the room back; false if the run was not there.
   bool remove(const std::string& id, const run_key& key);
+  // Leaves runners alone for a while on which the runs stand still.
+  void avoid_stalled(instant now);
   // Notes how a run ended, to tell a runner that fails everything.
   void note_end(const std::string& id, bool failed, instant now);
 
--- /dev/null
+++ b/src/decide/testing/runner_book_test.cc
@@ -0,0 +1,79 @@
+#include <catch2/catch.hpp>
+
+#include "decide/run_time_book.h"
+#include "decide/runner_book.h"
+
+namespace monsoonmux::cell {
+namespace {
+
+constexpr instant now{1'000'000};
+
+runner_state& add_runner(runner_book& book, const std::string& id) {
+  runner_entry entry;
+  entry.id = id;
+  entry.capacity = {millicores{8'000}, mebibytes{8'000}, devices{0}};
+  runner_state& runner = book.update(entry);
+  runner.admitted = true;
+  return runner;
+}
+
+resident_run run(std::int32_t index, instant since, millis expected) {
+  resident_run out;
+  out.task = {{job_id("j"), 0, 0}, index};
+  out.run = 1;
+  out.since = since;
+  out.expected = expected;
+  return out;
+}
+
+TEST_CASE("A runner that fails everything is left alone for a while") {
+  runner_book book;
+  runner_state& runner = add_runner(book, "a");
+  book.note_end("a", true, now);
+  book.note_end("a", true, now);
+  book.note_end("a", false, now);
+  book.note_end("a", true, now);
+  book.note_end("a", true, now);
+  CHECK(runner.takes_work(now));
+  book.note_end("a", true, now);
+  CHECK_FALSE(runner.takes_work(now));
+  CHECK(runner.takes_work(now + runner_book_options{}.avoid_for));
+}
+
+TEST_CASE("A runner whose runs stand still gets no new work") {
+  runner_book book;
+  runner_state& still = add_runner(book, "still");
+  runner_state& mixed = add_runner(book, "mixed");
+  runner_state& lasting = add_runner(book, "lasting");
+  const instant long_ago = now - millis{10'000};
+  for (std::int32_t i = 0; i < 2; ++i) {
+    book.add("still", run(i, long_ago, millis{1'000}));
+    book.add("mixed", run(i, long_ago, millis{1'000}));
+    book.add("lasting", run(i, long_ago, millis{0}));
+  }
+  for (std::int32_t i = 2; i < 5; ++i) {
+    book.add("mixed", run(i, now, millis{1'000}));
+  }
+  book.avoid_stalled(now);
+  CHECK_FALSE(still.takes_work(now));
+  CHECK(mixed.takes_work(now));
+  CHECK(lasting.takes_work(now));
+}
+
+TEST_CASE("Slow runners are told from slow work") {
+  run_time_book times;
+  const queue_id quick("quick");
+  const queue_id slow("slow");
+  for (int i = 0; i < 60; ++i) {
+    times.note(quick, i % 3 == 0 ? "lame" : "sound", millis{i % 3 == 0 ? 200 : 100});
+    times.note(slow, "sound", millis{5'000});
+  }
+  CHECK(times.slowness("lame") > 1.3);
+  CHECK(times.slowness("sound") < 1.1);
+  CHECK(times.slowness("unknown") == 1.0);
+  CHECK(times.expected(slow, millis{1}) == millis{5'000});
+  CHECK(times.expected(queue_id("new"), millis{7}) == millis{7});
+}
+
+}  // namespace
+}  // namespace monsoonmux::cell
