--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -387,6 +387,9 @@
 }
 
 void owner::make_plan() {
+  if (!this->may_order()) {
+    return;  // What is placed now could not be started; tick() asks again.
+  }
   const instant now = this->services.time.now();
   const std::int64_t wall_ms = this->services.time.wall_ms();
   for (auto& [id, job] : this->state.jobs) {
--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -114,7 +114,7 @@
 }
 
 void runner_session::look() {
-  const bool wanted = !this->runs.empty() || !this->admitted || this->seen > this->stored;
+  const bool wanted = !this->runs.empty() || !this->announced || this->seen > this->stored;
   if (this->look_in_flight || !wanted || !this->reachable()) {
     return;
   }
@@ -128,7 +128,7 @@
   order.target = this->target();
   // A new life numbers its ends anew; a number of the former one would have it
   // forget ends that nobody has seen.
-  order.last_seen = this->life_unsure ? 0 : this->stored;
+  order.last_seen = this->life_unsure || this->idle_before ? 0 : this->stored;
   const bool calm = this->admitted && !ends_unstored && !this->life_unsure;
   order.wait = calm && !this->runs.empty() ? this->options.look_wait : millis{0};
   if (this->admitted && !this->life_unsure) {
@@ -178,6 +178,7 @@
   this->born = report.born;
   this->admitted = true;
   this->life_unsure = false;
+  this->idle_before = false;
   if (!this->announced) {
     this->announced = true;
     this->owner.runner_admitted(this->id, report.born);
@@ -264,6 +265,7 @@
 
 void runner_session::start(const run_key& run, std::string payload, std::string ticket,
                            std::string checkpoint) {
+  this->idle_before = this->idle_before || this->runs.empty();
   link& l = this->runs[run];
   l.order.task = run.task.text();
   l.order.run = run.run;
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -115,6 +115,9 @@
   // entry or its clock says so. Until it reports, its lease is not renewed and no
   // end is noted as seen.
   bool life_unsure = false;
+  // Nothing ran there lately, so nobody looked; it may have been reborn unnoticed.
+  // The first look notes no end as seen.
+  bool idle_before = false;
   std::int64_t born = 0;
   std::int64_t clock_ms = 0;
   instant clock_at{0};
--- a/src/cell/testing/fake_cell.h
+++ b/src/cell/testing/fake_cell.h
@@ -87,6 +87,7 @@
           name("d" + std::to_string(index)),
           log(cell.store, this->process, this->name),
           orders(cell.loop, this->process, this->name, cell.runners, seed * 31 + index),
+          events(log_descriptor(), cell.loop, this->name),
           sources(cell.config, cell.runners) {}
 
     void boot(fake_cell& cell) {
@@ -96,7 +97,7 @@
       this->daemon = std::make_unique<cell_daemon>(
           this->process,
           daemon_ports{this->log, this->orders, this->advice, this->peers, this->sources},
-          cell.loop, cell.events, this->metrics, options);
+          cell.loop, this->events, this->metrics, options);
       this->daemon->start();
     }
     void kill() {
@@ -110,6 +111,7 @@
     fake_runner_port orders;
     no_advice advice;
     no_peers peers;
+    event_log events;
     fake_sources sources;
     counters metrics;
     std::unique_ptr<cell_daemon> daemon;
--- a/src/cell/testing/fake_runners.h
+++ b/src/cell/testing/fake_runners.h
@@ -116,7 +116,8 @@
       if (end.number > order.last_seen) {
         return false;
       }
-      if (end.how == run_end::done) {
+      // An end whose runner's lease lapsed before it was noted does not count.
+      if (end.how == run_end::done && end.number > this->lapsed_ends) {
         this->history.done_noted.insert(end.task);
       }
       return true;
@@ -154,6 +155,7 @@
     this->token = epoch{0};
     this->until = 0;
     this->next_end = 1;
+    this->lapsed_ends = 0;
     this->entry.born = this->loop.now().value;
   }
 
@@ -211,6 +213,9 @@
     constexpr millis step{10};
     this->loop.after(step, [this] { this->watch(); });
     const bool lapsed = this->clock() >= this->until;
+    if (lapsed) {
+      this->lapsed_ends = this->next_end - 1;
+    }
     for (auto it = this->runs.begin(); it != this->runs.end();) {
       const bool over = it->second.ends <= this->loop.now();
       if (!over && !lapsed) {
@@ -232,6 +237,7 @@
   epoch token{0};
   std::int64_t until = 0;
   std::int64_t next_end = 1;
+  std::int64_t lapsed_ends = 0;  // Ends up to this number were listed when the lease lapsed.
 };
 
 // All runners as one daemon reaches them.
