--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -156,15 +156,13 @@
 void owner::runner_listed(const runner_entry& entry) {
   runner_state* const before = this->state.runners.find(entry.id);
   const bool was_draining = before != nullptr && before->entry.draining;
-  const bool other_life = before != nullptr && before->entry.born != entry.born;
-  runner_state& now = this->state.runners.update(entry);
-  if (other_life) {
-    now.admitted = false;
-  }
+  this->state.runners.update(entry);
   if (entry.draining && !was_draining) {
     this->services.events.write("runner_draining", {{"runner", entry.id}});
   }
-  this->session_of(entry.id).update(entry);
+  runner_session& session = this->session_of(entry.id);
+  session.update(entry);
+  this->state.runners.find(entry.id)->admitted = session.is_announced();
 }
 
 void owner::runner_unlisted(const std::string& id) {
--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -194,6 +194,7 @@
   this->events.write("runner_reborn", {{"runner", this->id}, {"born", now_born}});
   this->seen = 0;
   this->stored = 0;
+  this->announced = false;
 }
 
 void runner_session::take_ends(const hold_report& report) {
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -65,7 +65,8 @@
   void ends_stored(std::int64_t number);
   void tick();
   bool has_runs() const { return !this->runs.empty(); }
-  bool is_listed() const { return this->listed; }
+  // It answered under our token in its present life, as far as known.
+  bool is_announced() const { return this->announced; }
 
  private:
   struct link {
