Gangs claim only where they fit; backfill; takeover after 1.2 s; no job is held without the log

A gang too wide for its good runners held runners idle until it was given up; claims now need a fit on empty runners, and work that ends before the claimant can start may use them. Silence of the log is noticed after 1.1 s, and jobs are then refused at once, so that callers reach another daemon.

--- a/src/cell/cell_daemon.cc
+++ b/src/cell/cell_daemon.cc
@@ -26,7 +26,7 @@
       config_feed(loop, given.log, now, out, given.sources.config_topic(), {},
                   {[this](const logged_record& r) { this->config_record(r); }, [] {}, {}}),
       work_feed(loop, given.log, now, out, work_topic,
-                {.min_interval = chosen.book_interval},
+                {.wait = chosen.book_wait, .min_interval = chosen.book_interval},
                 {[this](const logged_record& r) { this->work_record(r); },
                  [this] {
                    this->front.feed(&this->book, [this] { return this->work_feed.last_contact(); });
--- a/src/cell/cell_daemon.h
+++ b/src/cell/cell_daemon.h
@@ -27,7 +27,9 @@
   millis hello_every{400};      // To the owner.
   // Without an answer of the log for this long, new connections should go to
   // other daemons.
-  millis unready_after{1'800};
+  millis unready_after{1'100};
+  // A read of the jobs' records waits this long for one, so that silence is noticed.
+  millis book_wait{600};
   millis discovery_interval{250};  // Between two reads of the runners' list.
   // Between two reads of the jobs' records. The owner sees new work as soon; what
   // callers are told elsewhere may be this old.
--- a/src/cell/job_desk.cc
+++ b/src/cell/job_desk.cc
@@ -21,6 +21,11 @@
          this->time.now() - this->book_contact() < this->options.book_age;
 }
 
+bool job_desk::log_answers() const {
+  return this->book != nullptr &&
+         this->time.now() - this->book_contact() < this->options.log_silence;
+}
+
 result<caller> job_desk::identify(const std::string& host, const std::string& path,
                                   const std::string& key) const {
   if (!this->is_configured) {
@@ -55,6 +60,14 @@
     on_answer(BOOST_OUTCOME_V2_NAMESPACE::success());
     return;
   }
+  if (!this->log_answers()) {
+    this->metrics.count("jobs_refused");
+    this->events.write("job_not_accepted", {{"job", job.text},
+                                            {"verdict", "not_run"},
+                                            {"why", "no answer from the log lately"}});
+    on_answer(not_run(error_code::unavailable, "the log takes no records"));
+    return;
+  }
   job_submission submission;
   submission.job = job;
   submission.queue = from.queue->name;
--- a/src/cell/job_desk.h
+++ b/src/cell/job_desk.h
@@ -24,6 +24,9 @@
   // A book that has not heard from the log for this long may miss accepted jobs,
   // so an unknown job is not denied.
   millis book_age{2'500};
+  // A log that has not answered for this long takes no job either; the caller is
+  // better off with another daemon at once, or a little later.
+  millis log_silence{1'000};
 };
 
 // Takes jobs from callers and tells how they are, at any daemon. A job is accepted
@@ -53,6 +56,7 @@
 
  private:
   bool book_is_fresh() const;
+  bool log_answers() const;
   failure fate_failure(write_fate fate) const;
 
   submission_writer& writer;
--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -17,11 +17,11 @@
   daemon_id self;
   std::string peer_address;
   std::uint16_t peer_port = 0;
-  millis renew_every{500};
+  millis renew_every{350};
   // Silence of the owner, in a log that answers, after which others claim.
-  millis claim_after{1'800};
+  millis claim_after{1'200};
   // Candidates spread over this time, so that one claim meets no other.
-  millis stagger{500};
+  millis stagger{300};
   // After its last renewal an owner gives orders no longer than this. Its
   // successor counts on it for runners that it cannot reach.
   millis orders_after_renewal{3'500};
--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -36,7 +36,7 @@
 
 plan placer::decide(instant now, std::int64_t wall_ms) {
   this->services.clear();
-  this->claimed_by.clear();
+  this->claimed.clear();
   for (auto& [id, runner] : this->state.runners.all()) {
     this->services[runner.entry.service.text].runners.push_back(&runner);
   }
@@ -106,7 +106,7 @@
   } else if (this->place_gang(step, now, out)) {
     return;
   } else {
-    this->claim_runners(step);
+    this->claim_runners(step, now);
   }
   ++round.blocked;
   this->wish_for_advice(step, now, out);
@@ -175,17 +175,30 @@
   return false;
 }
 
-// Keeps the runners that will be free for the gang first from filling up again.
-void placer::claim_runners(const waiting_step& step) {
-  std::size_t& made = this->services[step.service.text].claims;
-  if (made >= this->options.claiming_gangs || step.order.given_up) {
+std::size_t placer::members_that_fit(const waiting_step& step, const runner_state& runner) const {
+  const resources each = this->reserved(*step.shape);
+  std::size_t fits = 0;
+  resources taken = each;
+  while (fits < step.tasks.size() && taken.fits(runner.entry.capacity)) {
+    ++fits;
+    taken += each;
+  }
+  return fits;
+}
+
+// Keeps the runners that will be free for the gang first from filling up again. A
+// gang that would not fit on all of its runners even when they are empty claims
+// none: it would hold them idle for nothing.
+void placer::claim_runners(const waiting_step& step, instant now) {
+  service_round& round = this->services[step.service.text];
+  if (round.claims >= this->options.claiming_gangs || step.order.given_up) {
     return;
   }
   std::vector<runner_state*> usable;
-  for (runner_state* runner : this->services[step.service.text].runners) {
-    if ((step.advice == nullptr || step.advice->known_good(runner->entry.id)) && runner->listed && !runner->entry.draining &&
-        this->reserved(*step.shape).fits(runner->entry.capacity) &&
-        !this->claimed_by.contains(runner->entry.id)) {
+  for (runner_state* runner : round.runners) {
+    const bool good = step.advice == nullptr || step.advice->known_good(runner->entry.id);
+    if (good && runner->listed && !runner->entry.draining &&
+        !this->claimed.contains(runner->entry.id)) {
       usable.push_back(runner);
     }
   }
@@ -193,20 +206,40 @@
     return a->room().accelerators > b->room().accelerators;
   });
   std::size_t missing = step.tasks.size();
-  for (runner_state* runner : usable) {
+  std::vector<const runner_state*> chosen;
+  instant free_at = now;
+  for (const runner_state* runner : usable) {
+    const std::size_t fits = std::min(missing, this->members_that_fit(step, *runner));
+    if (fits == 0) {
+      continue;
+    }
+    missing -= fits;
+    chosen.push_back(runner);
+    for (const auto& [key, run] : runner->residents) {
+      free_at = std::max(free_at, run.since + run.expected);
+    }
     if (missing == 0) {
       break;
     }
-    std::size_t fits = 0;
-    resources taken = this->reserved(*step.shape);
-    while (fits < missing && taken.fits(runner->entry.capacity)) {
-      ++fits;
-      taken += this->reserved(*step.shape);
-    }
-    missing -= fits;
-    this->claimed_by.emplace(runner->entry.id, step.ref);
   }
-  ++made;
+  if (missing > 0) {
+    return;
+  }
+  for (const runner_state* runner : chosen) {
+    this->claimed.emplace(runner->entry.id, claim{step.ref, free_at});
+  }
+  ++round.claims;
+}
+
+// Work that is over before the claimant could start anyway takes nothing from it.
+bool placer::yields_to_claim(const waiting_step& step, const runner_state& runner,
+                             instant now) const {
+  const auto it = this->claimed.find(runner.entry.id);
+  if (it == this->claimed.end() || it->second.by == step.ref) {
+    return false;
+  }
+  const millis usual = this->expected_time(step);
+  return usual.value <= 0 || now + usual > it->second.free_at;
 }
 
 bool placer::permitted(const waiting_step& step, const runner_state& runner) const {
@@ -227,12 +260,8 @@
 }
 
 bool placer::may_take(const waiting_step& step, const runner_state& runner, instant now) const {
-  const auto claim = this->claimed_by.find(runner.entry.id);
-  if (claim != this->claimed_by.end() && claim->second != step.ref) {
-    return false;
-  }
   if (!runner.takes_work(now) || !this->reserved(*step.shape).fits(runner.room()) ||
-      !this->permitted(step, runner)) {
+      !this->permitted(step, runner) || this->yields_to_claim(step, runner, now)) {
     return false;
   }
   if (step.shape->fills && runner.room().cpu < step.shape->need.cpu) {
--- a/src/decide/placer.h
+++ b/src/decide/placer.h
@@ -83,7 +83,9 @@
   // True if the step only waits for room or tickets, not for its tenant's limit.
   bool place_tasks(const waiting_step& step, instant now, plan& out);
   bool place_gang(const waiting_step& step, instant now, plan& out);
-  void claim_runners(const waiting_step& step);
+  void claim_runners(const waiting_step& step, instant now);
+  std::size_t members_that_fit(const waiting_step& step, const runner_state& runner) const;
+  bool yields_to_claim(const waiting_step& step, const runner_state& runner, instant now) const;
   void wish_for_advice(const waiting_step& step, instant now, plan& out);
   bool permitted(const waiting_step& step, const runner_state& runner) const;
   bool may_take(const waiting_step& step, const runner_state& runner, instant now) const;
@@ -111,7 +113,11 @@
     std::size_t blocked = 0;
   };
   std::unordered_map<std::string, service_round> services;
-  std::unordered_map<std::string, step_ref> claimed_by;
+  struct claim {
+    step_ref by;
+    instant free_at;  // When the claimant can expect all of its runners.
+  };
+  std::unordered_map<std::string, claim> claimed;
 };
 
 }  // namespace monsoonmux::cell
