--- a/src/cell/advice_dispatcher.cc
+++ b/src/cell/advice_dispatcher.cc
@@ -22,31 +22,43 @@
   this->peers[this->self.text].heard = never;
 }
 
-advice_dispatcher::peer* advice_dispatcher::least_busy(std::string& name) {
+advice_dispatcher::peer* advice_dispatcher::least_busy(millis expected, std::string& name) {
   const instant now = this->time.now();
   peer* best = nullptr;
+  std::size_t here_in_all = 0;
+  std::size_t free = 0;
   for (auto& [id, p] : this->peers) {
     const bool here = id == this->self.text || now - p.heard < this->options.peer_silence;
-    if (!here || p.avoid_until > now || p.outstanding > this->options.most_backlog) {
+    if (!here || p.avoid_until > now) {
       continue;
     }
+    ++here_in_all;
+    if (p.outstanding > this->options.most_backlog) {
+      continue;
+    }
+    ++free;
     if (best == nullptr || p.outstanding < best->outstanding) {
       best = &p;
       name = id;
     }
   }
+  const bool is_long = expected > this->options.long_question;
+  const bool can_keep_free = here_in_all > this->options.kept_free;
+  if (is_long && can_keep_free && free <= this->options.kept_free) {
+    return nullptr;
+  }
   return best;
 }
 
 bool advice_dispatcher::ask(const advice_wish& wish) {
+  const millis expected{std::llround(
+      wish.terms.decide_ms + wish.terms.per_runner_ms * static_cast<double>(wish.runners.size()))};
   std::string name;
-  peer* const chosen = this->least_busy(name);
+  peer* const chosen = this->least_busy(expected, name);
   if (chosen == nullptr) {
     return false;
   }
   const instant now = this->time.now();
-  const millis expected{std::llround(
-      wish.terms.decide_ms + wish.terms.per_runner_ms * static_cast<double>(wish.runners.size()))};
   chosen->outstanding += expected;
   const std::int64_t number = this->next_number++;
   this->open.emplace(number, question{wish, name, expected,
--- a/src/cell/advice_dispatcher.h
+++ b/src/cell/advice_dispatcher.h
@@ -19,6 +19,10 @@
   // A daemon that has this much to do is not asked; what waits stays with the
   // owner, where its order can still change.
   millis most_backlog{150};
+  // A question that takes longer than this leaves as many daemons free for the
+  // others, which would otherwise wait behind it.
+  millis long_question{150};
+  std::size_t kept_free = 2;
   millis answer_margin{900};  // Beyond the expected duration of all it was asked.
   millis penalty{2'000};      // For a daemon that did not answer.
 };
@@ -52,7 +56,7 @@
     instant give_up;
   };
 
-  peer* least_busy(std::string& name);
+  peer* least_busy(millis expected, std::string& name);
   void settle(std::int64_t number, bool answered, const std::vector<ticket>& tickets);
 
   peer_port& link;
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -409,10 +409,10 @@
     this->writer.write(job, [this, starts = std::move(starts)] { this->send_starts(starts); });
   }
   for (const advice_wish& wish : decided.wishes) {
-    if (!this->dispatcher.ask(wish)) {
-      break;
+    // A long question that finds no daemon does not keep a short one from it.
+    if (this->dispatcher.ask(wish)) {
+      this->state.advice.of(wish.step).asking = true;
     }
-    this->state.advice.of(wish.step).asking = true;
   }
   this->services.metrics.gauge("waiting_tasks", decided.waiting_tasks);
   this->services.metrics.gauge("open_jobs", static_cast<std::int64_t>(this->state.jobs.size()));
--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -42,6 +42,11 @@
   }
   plan out;
   for (waiting_step& step : this->collect(now, wall_ms)) {
+    if (step.ahead) {
+      step.advice = &this->state.advice.of(step.ref);
+      this->wish_for_advice(step, now, out);
+      continue;
+    }
     out.waiting_tasks += static_cast<std::int64_t>(step.tasks.size());
     this->place_step(step, now, out);
   }
@@ -59,10 +64,14 @@
       for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
         const live_step& step = occurrence.steps[s];
         const auto index = static_cast<std::int32_t>(s);
-        if (step.complete() || !job.step_ready(occurrence, index)) {
+        if (step.complete()) {
           continue;
         }
         waiting_step waiting;
+        waiting.ahead = !job.step_ready(occurrence, index);
+        if (waiting.ahead && !this->soon_ready(job, occurrence, index, now)) {
+          continue;
+        }
         for (std::size_t t = 0; t < step.tasks.size(); ++t) {
           if (step.tasks[t].phase == task_phase::waiting) {
             waiting.tasks.push_back(static_cast<std::int32_t>(t));
@@ -91,6 +100,31 @@
   return out;
 }
 
+// True if the step will be ready before a ticket that is asked for now expires, by
+// the usual time of the tasks that it waits for.
+bool placer::soon_ready(const live_job& job, const live_occurrence& occurrence, std::int32_t step,
+                        instant now) const {
+  const queue_config* const queue = this->state.config.find_queue(job.submission().queue);
+  if (queue == nullptr || !queue->advice) {
+    return false;
+  }
+  const job_spec& spec = job.spec();
+  for (const std::int32_t earlier : spec.steps[static_cast<std::size_t>(step)].depends_on) {
+    const millis usual = this->state.run_times.expected(
+        queue->name, spec.steps[static_cast<std::size_t>(earlier)].estimate);
+    for (const live_task& task : occurrence.steps[static_cast<std::size_t>(earlier)].tasks) {
+      if (task.phase == task_phase::done) {
+        continue;
+      }
+      const millis left = task.placed_at + usual - now;
+      if (task.phase == task_phase::waiting || left > this->options.ask_ahead) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
 void placer::place_step(waiting_step& step, instant now, plan& out) {
   service_round& round = this->services[step.service.text];
   if (round.blocked >= this->options.blocked_steps) {
--- a/src/decide/placer.h
+++ b/src/decide/placer.h
@@ -44,6 +44,8 @@
   std::size_t blocked_steps = 64;
   // Gangs of one service that hold runners back for themselves.
   std::size_t claiming_gangs = 1;
+  // A step whose tickets are wanted is asked about this long before it is ready.
+  millis ask_ahead{700};
   // Time for a start to reach its runner while its ticket is still valid.
   millis ticket_margin{150};
 };
@@ -72,6 +74,7 @@
     pool_id service;
     advice_book::step_advice* advice = nullptr;  // Null: the queue needs none.
     std::vector<std::int32_t> tasks;
+    bool ahead = false;  // Not ready yet; only asks for advice.
   };
   struct choice {
     runner_state* runner = nullptr;
@@ -79,6 +82,8 @@
   };
 
   std::vector<waiting_step> collect(instant now, std::int64_t wall_ms);
+  bool soon_ready(const live_job& job, const live_occurrence& occurrence, std::int32_t step,
+                  instant now) const;
   void place_step(waiting_step& step, instant now, plan& out);
   // True if the step only waits for room or tickets, not for its tenant's limit.
   bool place_tasks(const waiting_step& step, instant now, plan& out);
--- a/src/decide/testing/placer_test.cc
+++ b/src/decide/testing/placer_test.cc
@@ -168,6 +168,28 @@
   CHECK(p.placements[0].ticket == "t2");
 }
 
+TEST_CASE("Advice for a step is asked for shortly before it is ready") {
+  cell_builder cell;
+  cell.queue().advice = advice_terms{20, 1, millis{2'000}};
+  cell.add_runner("a", small_runner);
+  job_spec spec;
+  spec.steps = {cell_builder::step(1, small_task), cell_builder::step(1, small_task)};
+  spec.steps[0].estimate = millis{5'000};
+  spec.steps[1].depends_on = {0};
+  cell.add_job("j", spec);
+  plan p = decide(cell);
+  REQUIRE(p.wishes.size() == 1);
+  cell.state.advice.answer(p.wishes[0].step, {"a"}, {{"a", "t"}}, cell.now + millis{2'000});
+  p = decide(cell);
+  CHECK(p.placements.size() == 1);
+  CHECK(p.wishes.empty());
+  cell.now = cell.now + millis{4'500};
+  p = decide(cell);
+  CHECK(p.placements.empty());
+  REQUIRE(p.wishes.size() == 1);
+  CHECK(p.wishes[0].step.step == 1);
+}
+
 TEST_CASE("A round in an overloaded cell asks a bounded number of questions") {
   cell_builder cell;
   cell.queue().advice = advice_terms{20, 1, millis{2'000}};
