--- a/src/async/event_log.cc
+++ b/src/async/event_log.cc
@@ -15,7 +15,9 @@
   }
 }
 
-event_log::~event_log() { this->flush(); }
+event_log::~event_log() {
+  this->flush();
+}
 
 void event_log::write(std::string_view event, nlohmann::ordered_json fields) {
   nlohmann::ordered_json line;
--- a/src/async/http_listener.cc
+++ b/src/async/http_listener.cc
@@ -68,9 +68,9 @@
 
   void respond(const restinio::request_handle_t& request, const http_response& answer) {
     --this->open;
-    auto response = request->create_response(
-        restinio::http_status_line_t(restinio::http_status_code_t(static_cast<std::uint16_t>(answer.status)),
-                                     reason_phrase(answer.status)));
+    auto response = request->create_response(restinio::http_status_line_t(
+        restinio::http_status_code_t(static_cast<std::uint16_t>(answer.status)),
+        reason_phrase(answer.status)));
     response.append_header(restinio::http_field::content_type, answer.content_type);
     for (const header_field& field : answer.headers) {
       response.append_header(field.name, field.value);
@@ -97,9 +97,8 @@
               return restinio::request_rejected();
             }
             ++s->open;
-            handler(convert(request), [s, request](const http_response& answer) {
-              s->respond(request, answer);
-            });
+            handler(convert(request),
+                    [s, request](const http_response& answer) { s->respond(request, answer); });
             return restinio::request_accepted();
           })
       .read_next_http_message_timelimit(std::chrono::milliseconds(options.read_timeout.value))
@@ -129,10 +128,16 @@
   }
 }
 
-http_listener::~http_listener() { this->self->server->close_sync(); }
+http_listener::~http_listener() {
+  this->self->server->close_sync();
+}
 
-void http_listener::close_after_responses() { this->self->closing = true; }
+void http_listener::close_after_responses() {
+  this->self->closing = true;
+}
 
-std::size_t http_listener::open_requests() const { return this->self->open; }
+std::size_t http_listener::open_requests() const {
+  return this->self->open;
+}
 
 }  // namespace monsoonmux::cell
--- a/src/async/http_transport.cc
+++ b/src/async/http_transport.cc
@@ -136,19 +136,19 @@
     using descriptor = asio::posix::stream_descriptor;
     if ((w->wanted & CURL_POLL_IN) != 0 && !w->reading) {
       w->reading = true;
-      w->descriptor.async_wait(descriptor::wait_read,
-                               [self = this->shared_from_this(), socket, w](asio::error_code error) {
-                                 w->reading = false;
-                                 self->socket_ready(socket, w, error, CURL_CSELECT_IN);
-                               });
+      w->descriptor.async_wait(descriptor::wait_read, [self = this->shared_from_this(), socket,
+                                                       w](asio::error_code error) {
+        w->reading = false;
+        self->socket_ready(socket, w, error, CURL_CSELECT_IN);
+      });
     }
     if ((w->wanted & CURL_POLL_OUT) != 0 && !w->writing) {
       w->writing = true;
-      w->descriptor.async_wait(descriptor::wait_write,
-                               [self = this->shared_from_this(), socket, w](asio::error_code error) {
-                                 w->writing = false;
-                                 self->socket_ready(socket, w, error, CURL_CSELECT_OUT);
-                               });
+      w->descriptor.async_wait(descriptor::wait_write, [self = this->shared_from_this(), socket,
+                                                        w](asio::error_code error) {
+        w->writing = false;
+        self->socket_ready(socket, w, error, CURL_CSELECT_OUT);
+      });
     }
   }
 
@@ -209,17 +209,16 @@
     std::unique_ptr<exchange> done(e);
     if (code == CURLE_OK) {
       done->answer.status = static_cast<int>(status);
-      asio::post(this->io, [on_answer = std::move(done->on_answer),
-                            answer = std::move(done->answer)]() mutable {
-        on_answer(std::move(answer));
-      });
+      asio::post(this->io,
+                 [on_answer = std::move(done->on_answer),
+                  answer = std::move(done->answer)]() mutable { on_answer(std::move(answer)); });
       return;
     }
     const std::string detail = curl_easy_strerror(code);
     const error_code reason = code == CURLE_OPERATION_TIMEDOUT ? error_code::deadline_exceeded
                                                                : error_code::connection_lost;
-    failure f = sent == 0 ? not_run(error_code::connection_failed, detail)
-                          : may_have_run(reason, detail);
+    failure f =
+        sent == 0 ? not_run(error_code::connection_failed, detail) : may_have_run(reason, detail);
     asio::post(this->io, [on_answer = std::move(done->on_answer), f = std::move(f)]() mutable {
       on_answer(std::move(f));
     });
@@ -317,6 +316,8 @@
   curl_multi_add_handle(this->self->multi, h);
 }
 
-std::int64_t http_transport::connections_opened() const { return this->self->opened; }
+std::int64_t http_transport::connections_opened() const {
+  return this->self->opened;
+}
 
 }  // namespace monsoonmux::cell
--- a/src/cell/advice_desk.cc
+++ b/src/cell/advice_desk.cc
@@ -12,7 +12,9 @@
 
 advice_desk::advice_desk(advice_port& service, const clock& now) : port(service), time(now) {}
 
-advice_desk::~advice_desk() { *this->alive = false; }
+advice_desk::~advice_desk() {
+  *this->alive = false;
+}
 
 void advice_desk::ask(request r) {
   this->waiting.push_back(std::move(r));
--- a/src/cell/cell_daemon.cc
+++ b/src/cell/cell_daemon.cc
@@ -39,7 +39,9 @@
       hello(loop),
       retire(loop) {}
 
-cell_daemon::~cell_daemon() { *this->alive = false; }
+cell_daemon::~cell_daemon() {
+  *this->alive = false;
+}
 
 void cell_daemon::start() {
   this->config_feed.start();
@@ -72,8 +74,7 @@
                        {{"offset", record.offset}, {"why", config.error().detail}});
     return;
   }
-  if (this->front.configured() &&
-      config.value().version <= this->front.config().version) {
+  if (this->front.configured() && config.value().version <= this->front.config().version) {
     return;
   }
   this->events.write("config_in_force", {{"version", config.value().version.value},
@@ -89,7 +90,8 @@
 void cell_daemon::work_record(const logged_record& record) {
   const book_change change = this->book.apply(record.record);
   if (change == book_change::unreadable) {
-    this->events.write("record_unreadable", {{"offset", record.offset}, {"key", record.record.key}});
+    this->events.write("record_unreadable",
+                       {{"offset", record.offset}, {"key", record.record.key}});
     return;
   }
   if (this->orders && this->orders->active()) {
@@ -120,12 +122,12 @@
 }
 
 void cell_daemon::begin_ownership() {
-  const owner_services services{this->io,   this->ports.log, this->ports.runners, this->ports.peers,
-                                this->advice, this->time,    this->events,        this->metrics};
+  const owner_services services{this->io,          this->ports.log, this->ports.runners,
+                                this->ports.peers, this->advice,    this->time,
+                                this->events,      this->metrics};
   this->orders = std::make_unique<owner>(
       services, this->options.self, this->owned, this->claim.former_orders_until(),
-      this->options.owner,
-      [this] { return this->claim.may_order(); },
+      this->options.owner, [this] { return this->claim.may_order(); },
       [this](const std::string& why) {
         this->io.post([this, why, a = this->alive] {
           if (*a) {
@@ -142,9 +144,8 @@
 // Goes on with a takeover as soon as the log was read up to the fence and there is
 // a configuration.
 void cell_daemon::finish_takeover() {
-  if (!this->orders || this->orders->active() || this->fenced_at < 0 ||
-      !this->front.configured() || !this->work_feed.loaded() ||
-      this->work_feed.position() < this->fenced_at) {
+  if (!this->orders || this->orders->active() || this->fenced_at < 0 || !this->front.configured() ||
+      !this->work_feed.loaded() || this->work_feed.position() < this->fenced_at) {
     return;
   }
   this->orders->take_over(this->book, this->front.config());
@@ -234,19 +235,19 @@
 }
 
 void cell_daemon::advise(const peer_message& request, const peer_address& from) {
-  this->advice.ask({request.step, request.runners, millis{request.expected_ms},
-                    [this, number = request.request, from](bool answered,
-                                                           const std::vector<ticket>& tickets) {
-                      peer_message answer;
-                      answer.kind = peer_kind::advice_answer;
-                      answer.sender = this->options.self.text;
-                      answer.request = number;
-                      answer.answered = answered;
-                      for (const ticket& t : tickets) {
-                        answer.tickets.push_back({t.runner, t.text});
-                      }
-                      this->ports.peers.send(answer, from);
-                    }});
+  this->advice.ask(
+      {request.step, request.runners, millis{request.expected_ms},
+       [this, number = request.request, from](bool answered, const std::vector<ticket>& tickets) {
+         peer_message answer;
+         answer.kind = peer_kind::advice_answer;
+         answer.sender = this->options.self.text;
+         answer.request = number;
+         answer.answered = answered;
+         for (const ticket& t : tickets) {
+           answer.tickets.push_back({t.runner, t.text});
+         }
+         this->ports.peers.send(answer, from);
+       }});
 }
 
 }  // namespace monsoonmux::cell
--- a/src/cell/cell_daemon.h
+++ b/src/cell/cell_daemon.h
@@ -20,7 +20,7 @@
 
 struct daemon_options {
   daemon_id self;
-  std::string address;          // Of this host, for its peers.
+  std::string address;  // Of this host, for its peers.
   std::uint16_t peer_port = 0;
   owner_options owner;
   ownership_options ownership;  // self, peer_address and peer_port are filled in.
@@ -50,8 +50,8 @@
 // advice when the owner wants it, and is the owner itself when its claim wins.
 class cell_daemon {
  public:
-  cell_daemon(event_loop& io, const daemon_ports& ports, const clock& time,
-              event_log& events, counters& metrics, const daemon_options& options);
+  cell_daemon(event_loop& io, const daemon_ports& ports, const clock& time, event_log& events,
+              counters& metrics, const daemon_options& options);
   ~cell_daemon();
   cell_daemon(const cell_daemon&) = delete;
   cell_daemon& operator=(const cell_daemon&) = delete;
@@ -91,7 +91,7 @@
   ownership claim;
   std::unique_ptr<log_follower> runner_feed;
   std::unique_ptr<owner> orders;
-  std::set<std::string> runners_seen;    // Since the list was last loaded.
+  std::set<std::string> runners_seen;  // Since the list was last loaded.
   std::set<std::string> runners_known;
   epoch owned{0};
   std::int64_t fenced_at = -1;  // End of the log at our fence; -1: not fenced yet.
--- a/src/cell/job_desk.cc
+++ b/src/cell/job_desk.cc
@@ -2,8 +2,8 @@
 
 namespace monsoonmux::cell {
 
-job_desk::job_desk(submission_writer& target, const clock& now, event_log& out,
-                   counters& counted, const desk_options& given)
+job_desk::job_desk(submission_writer& target, const clock& now, event_log& out, counters& counted,
+                   const desk_options& given)
     : writer(target), time(now), events(out), metrics(counted), options(given) {}
 
 void job_desk::configure(cell_config config) {
@@ -17,8 +17,7 @@
 }
 
 bool job_desk::book_is_fresh() const {
-  return this->book != nullptr &&
-         this->time.now() - this->book_contact() < this->options.book_age;
+  return this->book != nullptr && this->time.now() - this->book_contact() < this->options.book_age;
 }
 
 bool job_desk::log_answers() const {
@@ -62,9 +61,9 @@
   }
   if (!this->log_answers()) {
     this->metrics.count("jobs_refused");
-    this->events.write("job_not_accepted", {{"job", job.text},
-                                            {"verdict", "not_run"},
-                                            {"why", "no answer from the log lately"}});
+    this->events.write(
+        "job_not_accepted",
+        {{"job", job.text}, {"verdict", "not_run"}, {"why", "no answer from the log lately"}});
     on_answer(not_run(error_code::unavailable, "the log takes no records"));
     return;
   }
@@ -82,9 +81,8 @@
         const millis taken = this->time.now() - since;
         this->metrics.observe("accept", taken);
         if (fate == write_fate::stored) {
-          this->events.write("job_accepted", {{"job", job.text},
-                                              {"queue", queue.text},
-                                              {"took_ms", taken.value}});
+          this->events.write("job_accepted",
+                             {{"job", job.text}, {"queue", queue.text}, {"took_ms", taken.value}});
           on_answer(BOOST_OUTCOME_V2_NAMESPACE::success());
           return;
         }
--- a/src/cell/log_follower.cc
+++ b/src/cell/log_follower.cc
@@ -4,9 +4,8 @@
 
 namespace monsoonmux::cell {
 
-log_follower::log_follower(event_loop& io, shared_log& source, const clock& now,
-                           event_log& out, std::string name, const follower_options& given,
-                           handlers callbacks)
+log_follower::log_follower(event_loop& io, shared_log& source, const clock& now, event_log& out,
+                           std::string name, const follower_options& given, handlers callbacks)
     : log(source),
       time(now),
       events(out),
@@ -16,7 +15,9 @@
       next_try(io),
       min_interval(given.min_interval) {}
 
-log_follower::~log_follower() { *this->alive = false; }
+log_follower::~log_follower() {
+  *this->alive = false;
+}
 
 void log_follower::start() {
   this->first_page = true;
@@ -27,20 +28,19 @@
 }
 
 void log_follower::load(const std::string& after_key) {
-  this->log.newest(this->topic, after_key,
-                   [this, after_key, a = this->alive](result<newest_answer> answer) {
-                     if (!*a) {
-                       return;
-                     }
-                     if (answer.has_error()) {
-                       this->failed(answer.error());
-                       this->next_try.start(this->options.retry,
-                                            [this, after_key] { this->load(after_key); });
-                       return;
-                     }
-                     this->note_contact();
-                     this->loaded_page(answer.value());
-                   });
+  this->log.newest(
+      this->topic, after_key, [this, after_key, a = this->alive](result<newest_answer> answer) {
+        if (!*a) {
+          return;
+        }
+        if (answer.has_error()) {
+          this->failed(answer.error());
+          this->next_try.start(this->options.retry, [this, after_key] { this->load(after_key); });
+          return;
+        }
+        this->note_contact();
+        this->loaded_page(answer.value());
+      });
 }
 
 void log_follower::loaded_page(const newest_answer& page) {
--- a/src/cell/log_follower.h
+++ b/src/cell/log_follower.h
@@ -12,9 +12,9 @@
 namespace monsoonmux::cell {
 
 struct follower_options {
-  millis wait{1'500};          // Of one read, while nothing comes.
-  millis retry{150};           // After a read that failed.
-  millis min_interval{0};      // Between the starts of two reads.
+  millis wait{1'500};      // Of one read, while nothing comes.
+  millis retry{150};       // After a read that failed.
+  millis min_interval{0};  // Between the starts of two reads.
 };
 
 // Follows one topic: first the newest record of each key, then every record as it
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -15,9 +15,9 @@
 
 }  // namespace
 
-owner::owner(const owner_services& given, daemon_id name, epoch under,
-             instant former_orders_until, const owner_options& chosen,
-             std::function<bool()> may, std::function<void(const std::string&)> over)
+owner::owner(const owner_services& given, daemon_id name, epoch under, instant former_orders_until,
+             const owner_options& chosen, std::function<bool()> may,
+             std::function<void(const std::string&)> over)
     : services(given),
       self(std::move(name)),
       at(under),
@@ -97,8 +97,7 @@
   const team_id& tenant = job.submission().tenant;
   this->state.runners.add(
       t.runner, {task, t.run, tenant, reserved, shape.need, shape.fills, shape.serves(),
-                 this->services.time.now(),
-                 shape.long_running ? millis{0} : shape.estimate});
+                 this->services.time.now(), shape.long_running ? millis{0} : shape.estimate});
   this->state.tenants.add(tenant, shape.need);
   this->session_of(t.runner).recover({task, t.run});
 }
@@ -222,10 +221,8 @@
 }
 
 void owner::run_gone(const std::string& runner, const run_key& run, std::string_view why) {
-  this->services.events.write("run_gone", {{"task", run.task.text()},
-                                           {"run", run.run},
-                                           {"runner", runner},
-                                           {"why", why}});
+  this->services.events.write(
+      "run_gone", {{"task", run.task.text()}, {"run", run.run}, {"runner", runner}, {"why", why}});
   this->services.metrics.count("runs_gone");
   this->settle_end(runner, run, run_end::lost, {});
   if (this->state.jobs.contains(run.task.in.job)) {
@@ -256,10 +253,9 @@
     this->state.run_times.note(job.submission().queue, runner,
                                this->services.time.now() - placed_at);
   } else {
-    this->services.events.write("run_ended", {{"task", run.task.text()},
-                                              {"run", run.run},
-                                              {"runner", runner},
-                                              {"how", to_string(how)}});
+    this->services.events.write(
+        "run_ended",
+        {{"task", run.task.text()}, {"run", run.run}, {"runner", runner}, {"how", to_string(how)}});
   }
   this->services.metrics.count("runs_ended");
   this->after_end(job, run, how, effect);
@@ -276,8 +272,8 @@
     }
     return;
   }
-  this->services.events.write("job_over", {{"job", run.task.in.job.text},
-                                           {"phase", to_string(job.phase())}});
+  this->services.events.write("job_over",
+                              {{"job", run.task.in.job.text}, {"phase", to_string(job.phase())}});
   this->services.metrics.count("jobs_over");
   if (job.phase() != job_phase::completed) {
     this->stop_runs(job);
@@ -314,8 +310,7 @@
   });
 }
 
-void owner::checkpoint_seen(const std::string&, const run_key& run,
-                            const std::string& checkpoint) {
+void owner::checkpoint_seen(const std::string&, const run_key& run, const std::string& checkpoint) {
   const auto it = this->state.jobs.find(run.task.in.job);
   if (it == this->state.jobs.end()) {
     return;
@@ -422,8 +417,7 @@
   const instant now = this->services.time.now();
   for (const placement& p : starts) {
     const auto it = this->state.jobs.find(p.task.in.job);
-    const live_task* const task =
-        it == this->state.jobs.end() ? nullptr : it->second.find(p.task);
+    const live_task* const task = it == this->state.jobs.end() ? nullptr : it->second.find(p.task);
     const run_key run{p.task, p.run};
     const bool wanted = task != nullptr && task->phase == task_phase::placed &&
                         task->run == p.run && !is_final(it->second.phase()) && this->may_order();
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -49,8 +49,8 @@
  public:
   // No former owner gave an order after `former_orders_until`.
   owner(const owner_services& services, daemon_id self, epoch at, instant former_orders_until,
-        const owner_options& options,
-        std::function<bool()> may_order, std::function<void(const std::string&)> on_over);
+        const owner_options& options, std::function<bool()> may_order,
+        std::function<void(const std::string&)> on_over);
   ~owner() override;
 
   // First of all; `on_fenced` gets the end of the log.
--- a/src/cell/ownership.cc
+++ b/src/cell/ownership.cc
@@ -34,7 +34,9 @@
                 {}}),
       ticker(io) {}
 
-ownership::~ownership() { *this->alive = false; }
+ownership::~ownership() {
+  *this->alive = false;
+}
 
 void ownership::start() {
   this->heard = this->time.now();
@@ -105,8 +107,9 @@
 millis ownership::claim_delay() const {
   const std::string seed =
       this->options.self.text + std::to_string(this->claim ? this->claim->owner_epoch.value : 0);
-  const millis turn{static_cast<std::int64_t>(
-      XXH64(seed.data(), seed.size(), 0) % static_cast<std::uint64_t>(this->options.stagger.value))};
+  const millis turn{
+      static_cast<std::int64_t>(XXH64(seed.data(), seed.size(), 0) %
+                                static_cast<std::uint64_t>(this->options.stagger.value))};
   if (!this->claim) {
     return first_silence + turn;
   }
@@ -134,19 +137,19 @@
   next.peer_port = this->options.peer_port;
   this->renewal_sent = this->time.now();
   const instant former = this->heard + this->options.orders_after_renewal;
-  this->append_claim(next, [this, next, former,
-                            sent = this->renewal_sent](const append_answer& answer) {
-    if (answer.status != append_status::done || this->is_owner) {
-      return;
-    }
-    this->claim = next;
-    this->end = std::max(this->end, answer.end);
-    this->is_owner = true;
-    this->renewed = sent;
-    // The append shows that nobody renewed since the last claim was heard.
-    this->former_until = former;
-    this->on.on_gained(next.owner_epoch);
-  });
+  this->append_claim(next,
+                     [this, next, former, sent = this->renewal_sent](const append_answer& answer) {
+                       if (answer.status != append_status::done || this->is_owner) {
+                         return;
+                       }
+                       this->claim = next;
+                       this->end = std::max(this->end, answer.end);
+                       this->is_owner = true;
+                       this->renewed = sent;
+                       // The append shows that nobody renewed since the last claim was heard.
+                       this->former_until = former;
+                       this->on.on_gained(next.owner_epoch);
+                     });
 }
 
 void ownership::append_claim(owner_claim next,
--- a/src/cell/peer_link.cc
+++ b/src/cell/peer_link.cc
@@ -23,7 +23,9 @@
   this->receive();
 }
 
-peer_link::~peer_link() { *this->alive = false; }
+peer_link::~peer_link() {
+  *this->alive = false;
+}
 
 void peer_link::send(const peer_message& message, const peer_address& to) {
   const std::string bytes = encode(message);
@@ -33,8 +35,7 @@
     this->socket.send_to(asio::buffer(bytes), peer, 0, error);
   }
   if (error && error != asio::error::would_block) {
-    this->events.write("datagram_not_sent",
-                       {{"to", to.host}, {"why", error.message()}});
+    this->events.write("datagram_not_sent", {{"to", to.host}, {"why", error.message()}});
   }
 }
 
@@ -48,8 +49,7 @@
         if (!error) {
           const auto message = decode_peer_message(std::string(this->buffer.data(), size));
           if (message) {
-            this->on_message(*message,
-                             {this->from.address().to_string(), this->from.port()});
+            this->on_message(*message, {this->from.address().to_string(), this->from.port()});
           } else {
             this->events.write("datagram_unreadable",
                                {{"from", this->from.address().to_string()}, {"bytes", size}});
--- a/src/cell/peer_link.h
+++ b/src/cell/peer_link.h
@@ -18,8 +18,8 @@
   using handler = std::function<void(const peer_message&, const peer_address& from)>;
 
   // Throws std::runtime_error if the address cannot be bound.
-  peer_link(asio::io_context& io, event_log& events, const std::string& address,
-            std::uint16_t port, handler on_message);
+  peer_link(asio::io_context& io, event_log& events, const std::string& address, std::uint16_t port,
+            handler on_message);
   ~peer_link() override;
   peer_link(const peer_link&) = delete;
   peer_link& operator=(const peer_link&) = delete;
--- a/src/cell/peer_message.h
+++ b/src/cell/peer_message.h
@@ -29,13 +29,13 @@
 struct peer_message {
   peer_kind kind = peer_kind::hello;
   std::string sender;
-  std::int64_t request = 0;             // Number of the request that is answered.
-  std::int64_t backlog_ms = 0;          // hello: time until a new request would begin.
-  std::string step;                     // advice_request.
-  std::int64_t expected_ms = 0;         // advice_request: what the call will take.
-  std::vector<std::string> runners;     // advice_request.
-  bool answered = false;                // advice_answer: false if the call failed.
-  std::vector<peer_ticket> tickets;     // advice_answer.
+  std::int64_t request = 0;          // Number of the request that is answered.
+  std::int64_t backlog_ms = 0;       // hello: time until a new request would begin.
+  std::string step;                  // advice_request.
+  std::int64_t expected_ms = 0;      // advice_request: what the call will take.
+  std::vector<std::string> runners;  // advice_request.
+  bool answered = false;             // advice_answer: false if the call failed.
+  std::vector<peer_ticket> tickets;  // advice_answer.
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/src/cell/progress_writer.cc
+++ b/src/cell/progress_writer.cc
@@ -6,8 +6,8 @@
 
 namespace monsoonmux::cell {
 
-progress_writer::progress_writer(event_loop& loop, shared_log& target, event_log& out,
-                                 epoch under, record_source make, std::function<void()> fenced,
+progress_writer::progress_writer(event_loop& loop, shared_log& target, event_log& out, epoch under,
+                                 record_source make, std::function<void()> fenced,
                                  const progress_writer_options& given)
     : io(loop),
       log(target),
@@ -18,7 +18,9 @@
       options(given),
       retry(loop) {}
 
-progress_writer::~progress_writer() { *this->alive = false; }
+progress_writer::~progress_writer() {
+  *this->alive = false;
+}
 
 void progress_writer::fence(std::function<void(std::int64_t)> on_done) {
   append_request request;
--- a/src/cell/runner_port.h
+++ b/src/cell/runner_port.h
@@ -30,15 +30,15 @@
 
 enum class order_status {
   done,
-  fenced,       // The runner has seen a higher token.
-  old_run,      // That run, or a later one, has ended or was stopped there.
-  late,         // The lease end has passed.
+  fenced,   // The runner has seen a higher token.
+  old_run,  // That run, or a later one, has ended or was stopped there.
+  late,     // The lease end has passed.
   no_room,
   no_ticket,
-  refused,      // Nothing was done, for another reason.
+  refused,  // Nothing was done, for another reason.
   other_instance,
-  not_sent,     // No connection; nothing was done.
-  unknown,      // No answer: done, not done, or done later.
+  not_sent,  // No connection; nothing was done.
+  unknown,   // No answer: done, not done, or done later.
 };
 std::string_view to_string(order_status status);
 
--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -61,7 +61,9 @@
       options(given),
       lapse_at(inherited_until) {}
 
-runner_session::~runner_session() { *this->alive = false; }
+runner_session::~runner_session() {
+  *this->alive = false;
+}
 
 order_target runner_session::target() const {
   return {this->entry.address, this->id, this->token};
@@ -246,9 +248,8 @@
     }
     const std::string name = run.task.text();
     const bool runs_there = std::any_of(
-        report.running.begin(), report.running.end(), [&](const running_run& running) {
-          return running.run == run.run && running.task == name;
-        });
+        report.running.begin(), report.running.end(),
+        [&](const running_run& running) { return running.run == run.run && running.task == name; });
     if (!runs_there) {
       missing.push_back(run);
     }
@@ -282,8 +283,7 @@
   l.next_try = never;
   l.order.target = this->target();
   l.order.until_ms = this->lease_until();
-  this->lapse_at =
-      std::max(this->lapse_at, this->time.now() + lapse_time(this->options.hold_max));
+  this->lapse_at = std::max(this->lapse_at, this->time.now() + lapse_time(this->options.hold_max));
   this->port.start(l.order, [this, run, a = this->alive](const order_answer& answer) {
     if (*a) {
       this->started(run, answer);
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -14,11 +14,11 @@
 namespace monsoonmux::cell {
 
 struct session_options {
-  millis hold_max{10'000};     // Longest lease that a runner grants.
-  millis look_wait{2'000};     // One look waits this long for an end.
-  millis retry{200};           // After an order that got no answer.
+  millis hold_max{10'000};       // Longest lease that a runner grants.
+  millis look_wait{2'000};       // One look waits this long for an end.
+  millis retry{200};             // After an order that got no answer.
   std::int32_t start_tries = 3;  // Then the run is closed by a stop.
-  millis lost_probe{1'000};    // Between looks at a runner that does not answer.
+  millis lost_probe{1'000};      // Between looks at a runner that does not answer.
 };
 
 // What a session tells its owner.
@@ -71,8 +71,8 @@
  private:
   struct link {
     bool recovered = false;
-    instant answered_at{0};      // Of a start or stop; 0: none yet.
-    std::int32_t unanswered = 0; // Starts without an answer.
+    instant answered_at{0};       // Of a start or stop; 0: none yet.
+    std::int32_t unanswered = 0;  // Starts without an answer.
     std::int32_t tries = 0;
     bool stopping = false;
     bool stop_in_flight = false;
--- a/src/cell/shared_log.h
+++ b/src/cell/shared_log.h
@@ -21,18 +21,18 @@
 
 struct append_request {
   std::string topic;
-  std::vector<keyed_record> records;  // All or nothing. Empty: only sets the epoch.
+  std::vector<keyed_record> records;         // All or nothing. Empty: only sets the epoch.
   std::optional<std::int64_t> expected_end;  // Append only if the topic ends there.
   std::optional<producer_stamp> producer;
 };
 
 enum class append_status {
   done,
-  end_moved,       // The topic did not end at `expected_end`; nothing was done.
-  fenced,          // A higher epoch was seen; nothing was done.
-  out_of_sequence, // Another number was expected; nothing was done.
-  refused,         // Nothing was done; may be repeated later.
-  unknown,         // No answer: done, not done, or done later.
+  end_moved,        // The topic did not end at `expected_end`; nothing was done.
+  fenced,           // A higher epoch was seen; nothing was done.
+  out_of_sequence,  // Another number was expected; nothing was done.
+  refused,          // Nothing was done; may be repeated later.
+  unknown,          // No answer: done, not done, or done later.
 };
 
 struct append_answer {
--- a/src/cell/submission_writer.cc
+++ b/src/cell/submission_writer.cc
@@ -8,7 +8,9 @@
                                      const submission_writer_options& given)
     : log(target), time(now), options(given), retry(io) {}
 
-submission_writer::~submission_writer() { *this->alive = false; }
+submission_writer::~submission_writer() {
+  *this->alive = false;
+}
 
 void submission_writer::write(keyed_record record, instant deadline,
                               std::function<void(write_fate)> on_fate) {
@@ -41,9 +43,11 @@
   this->in_flight = false;
   if (answer.status == append_status::done) {
     this->failures = 0;
-    std::vector<entry> stored(std::make_move_iterator(this->queue.begin()),
-                              std::make_move_iterator(this->queue.begin() + static_cast<std::ptrdiff_t>(count)));
-    this->queue.erase(this->queue.begin(), this->queue.begin() + static_cast<std::ptrdiff_t>(count));
+    std::vector<entry> stored(
+        std::make_move_iterator(this->queue.begin()),
+        std::make_move_iterator(this->queue.begin() + static_cast<std::ptrdiff_t>(count)));
+    this->queue.erase(this->queue.begin(),
+                      this->queue.begin() + static_cast<std::ptrdiff_t>(count));
     for (entry& e : stored) {
       e.on_fate(write_fate::stored);
     }
--- a/src/cell/testing/cell_test.cc
+++ b/src/cell/testing/cell_test.cc
@@ -10,7 +10,9 @@
 
 constexpr millis boot_time{2'000};
 
-std::string job_name(int i) { return "job" + std::to_string(1'000 + i); }
+std::string job_name(int i) {
+  return "job" + std::to_string(1'000 + i);
+}
 
 void check_history(const fake_cell& cell) {
   for (const std::string& broken : cell.history.broken) {
@@ -89,9 +91,10 @@
   cell.submit(0, job_name(0), fake_cell::simple_job(8));
   cell.loop.run_for(millis{500});
   bool cancelled = false;
-  cell.nodes[1]->daemon->desk().cancel(
-      job_id(job_name(0)), cell.loop.now() + millis{1'000},
-      [&cancelled](const result<bool>& answer) { cancelled = answer.has_value() && answer.value(); });
+  cell.nodes[1]->daemon->desk().cancel(job_id(job_name(0)), cell.loop.now() + millis{1'000},
+                                       [&cancelled](const result<bool>& answer) {
+                                         cancelled = answer.has_value() && answer.value();
+                                       });
   cell.loop.run_for(millis{1'000});
   CHECK(cancelled);
   const std::int64_t starts = cell.history.starts;
@@ -158,11 +161,13 @@
     return *cell.nodes[random() % cell.nodes.size()];
   };
   for (int tick = 0; tick < 60; ++tick) {
-    cell.submit(static_cast<int>(random() % 3), job_name(tick), fake_cell::simple_job(1 + random() % 4));
+    cell.submit(static_cast<int>(random() % 3), job_name(tick),
+                fake_cell::simple_job(1 + random() % 4));
     fake_runner& runner = *cell.runners[random() % cell.runners.size()];
     switch (random() % 16) {
       case 0:
-        daemon().process.freeze_until(cell.loop.now() + millis{static_cast<std::int64_t>(500 + random() % 6'000)});
+        daemon().process.freeze_until(cell.loop.now() +
+                                      millis{static_cast<std::int64_t>(500 + random() % 6'000)});
         break;
       case 1: {
         fake_cell::node& n = daemon();
--- a/src/cell/testing/fake_cell.h
+++ b/src/cell/testing/fake_cell.h
@@ -70,8 +70,9 @@
     this->config.queues.push_back(queue);
     this->config.services.push_back({pool_id("s"), false, false});
     for (int i = 0; i < runner_count; ++i) {
-      this->runners.push_back(std::make_unique<fake_runner>(
-          this->loop, this->history, this->events, "i-" + std::to_string(i), runner_size, seed + i));
+      this->runners.push_back(std::make_unique<fake_runner>(this->loop, this->history, this->events,
+                                                            "i-" + std::to_string(i), runner_size,
+                                                            seed + i));
       this->store.put("runners", this->runners.back()->entry.id, "1");
     }
     this->store.put("op", "config", "1");
--- a/src/cell/testing/fake_loop.h
+++ b/src/cell/testing/fake_loop.h
@@ -42,9 +42,8 @@
   explicit fake_process(fake_loop& loop) : loop(loop) {}
 
   void after(millis delay, std::function<void()> action) override {
-    this->loop.after(delay, [this, life = this->life, action = std::move(action)] {
-      this->run(life, action);
-    });
+    this->loop.after(
+        delay, [this, life = this->life, action = std::move(action)] { this->run(life, action); });
   }
   // Events of the life that ends now never run.
   void kill() { ++this->life; }
--- a/src/cell/testing/fake_runners.h
+++ b/src/cell/testing/fake_runners.h
@@ -18,9 +18,9 @@
 // What happened on all runners, and what of it breaks a rule.
 struct run_history {
   std::vector<std::string> broken;
-  std::map<std::string, int> running;   // Runs by task, on runners that are up.
-  std::set<std::string> done;           // Tasks that ended done.
-  std::set<std::string> done_noted;     // Such ends that a look took note of.
+  std::map<std::string, int> running;  // Runs by task, on runners that are up.
+  std::set<std::string> done;          // Tasks that ended done.
+  std::set<std::string> done_noted;    // Such ends that a look took note of.
   std::int64_t starts = 0;
 
   void fail(instant at, const std::string& what) {
@@ -47,11 +47,11 @@
 
   runner_entry entry;
   bool up = true;
-  std::set<std::string> cut;      // Daemons that do not reach it.
-  double late_orders = 0;         // Part of the orders carried out seconds later, unanswered.
-  double clock_rate = 1.0;        // 0.98: 2% slow.
+  std::set<std::string> cut;  // Daemons that do not reach it.
+  double late_orders = 0;     // Part of the orders carried out seconds later, unanswered.
+  double clock_rate = 1.0;    // 0.98: 2% slow.
   millis task_time{800};
-  double failing = 0;             // Part of the runs that end as failed.
+  double failing = 0;  // Part of the runs that end as failed.
 
   std::int64_t clock() const {
     return static_cast<std::int64_t>(
@@ -191,8 +191,7 @@
     run_state run;
     run.run = order.run;
     run.ends = this->loop.now() + this->task_time;
-    const bool fails =
-        std::uniform_real_distribution<double>(0, 1)(this->random) < this->failing;
+    const bool fails = std::uniform_real_distribution<double>(0, 1)(this->random) < this->failing;
     run.how = fails ? run_end::failed : run_end::done;
     this->runs[order.task] = run;
   }
@@ -278,7 +277,8 @@
   }
 
   template <class Order>
-  void order(const order_target& target, std::function<void(order_answer)> on_answer, Order carry_out) {
+  void order(const order_target& target, std::function<void(order_answer)> on_answer,
+             Order carry_out) {
     this->call<order_answer>(
         target, order_timeout, std::move(on_answer), order_answer{},
         order_answer{order_status::not_sent, {}},
--- a/src/cell/testing/fake_store.h
+++ b/src/cell/testing/fake_store.h
@@ -18,18 +18,19 @@
  public:
   fake_store(fake_loop& loop, std::uint32_t seed) : loop(loop), random(seed) {}
 
-  bool down = false;           // Nobody gets an answer, nothing is done.
-  double lost_answers = 0;     // Part of the appends that are done and not answered.
-  double late_appends = 0;     // Part of the appends that are done seconds later, unanswered.
-  std::set<std::string> cut;   // Daemons whose calls do not arrive.
+  bool down = false;          // Nobody gets an answer, nothing is done.
+  double lost_answers = 0;    // Part of the appends that are done and not answered.
+  double late_appends = 0;    // Part of the appends that are done seconds later, unanswered.
+  std::set<std::string> cut;  // Daemons whose calls do not arrive.
 
   void append(const std::string& from, fake_process& process, append_request request,
               std::function<void(append_answer)> on_answer) {
-    this->call(from, process, append_timeout, on_answer, append_answer{append_status::unknown, 0, 0},
-               [this, request](const auto& answer) {
+    this->call(from, process, append_timeout, on_answer,
+               append_answer{append_status::unknown, 0, 0}, [this, request](const auto& answer) {
                  if (this->chance(this->late_appends)) {
-                   this->loop.after(millis{1'000 + static_cast<std::int64_t>(this->random() % 5'000)},
-                                    [this, request] { this->apply(request); });
+                   this->loop.after(
+                       millis{1'000 + static_cast<std::int64_t>(this->random() % 5'000)},
+                       [this, request] { this->apply(request); });
                    return;
                  }
                  const append_answer result = this->apply(request);
@@ -41,12 +42,12 @@
 
   void read(const std::string& from, fake_process& process, const std::string& topic,
             std::int64_t offset, millis wait, reply<read_answer> on_answer) {
-    this->call<result<read_answer>>(
-        from, process, wait + append_timeout, on_answer,
-        may_have_run(error_code::deadline_exceeded, "no answer"),
-        [this, topic, offset, wait](const auto& answer) {
-          this->wait_for(topic, offset, this->loop.now() + wait, answer);
-        });
+    this->call<result<read_answer>>(from, process, wait + append_timeout, on_answer,
+                                    may_have_run(error_code::deadline_exceeded, "no answer"),
+                                    [this, topic, offset, wait](const auto& answer) {
+                                      this->wait_for(topic, offset, this->loop.now() + wait,
+                                                     answer);
+                                    });
   }
 
   void newest(const std::string& from, fake_process& process, const std::string& topic,
@@ -121,7 +122,8 @@
   }
 
   template <class Answer>
-  void wait_for(const std::string& topic, std::int64_t offset, instant until, const Answer& answer) {
+  void wait_for(const std::string& topic, std::int64_t offset, instant until,
+                const Answer& answer) {
     if (this->end(topic) > offset || this->loop.now() >= until) {
       read_answer out;
       out.next = std::max(offset, this->end(topic));
--- a/src/decide/advice_book.cc
+++ b/src/decide/advice_book.cc
@@ -34,8 +34,7 @@
 std::string advice_book::ticket_for(const step_ref& step, const std::string& runner,
                                     instant now) const {
   const step_advice* const advice = this->find(step);
-  const std::string* const text =
-      advice != nullptr ? advice->ticket_for(runner, now) : nullptr;
+  const std::string* const text = advice != nullptr ? advice->ticket_for(runner, now) : nullptr;
   return text != nullptr ? *text : std::string();
 }
 
--- a/src/decide/live_job.h
+++ b/src/decide/live_job.h
@@ -42,7 +42,7 @@
 
 // What the end of a run means for its job.
 struct end_effect {
-  bool counted = false;       // False: the end is of a run that is no longer current.
+  bool counted = false;  // False: the end is of a run that is no longer current.
   bool step_done = false;
   bool job_final = false;
 };
--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -285,9 +285,9 @@
     return false;
   }
   if (step.shape->anti_affinity > 0) {
-    const auto same = std::count_if(
-        runner.residents.begin(), runner.residents.end(),
-        [&step](const auto& resident) { return resident.first.task.in == step.ref; });
+    const auto same =
+        std::count_if(runner.residents.begin(), runner.residents.end(),
+                      [&step](const auto& resident) { return resident.first.task.in == step.ref; });
     return same < step.shape->anti_affinity;
   }
   return true;
@@ -317,8 +317,7 @@
   }
   score += slowness_weight * this->state.run_times.slowness(runner.entry.id);
   if (step.shape->need.accelerators.value > 0) {
-    return score +
-           free_fraction(room.accelerators.value, runner.entry.capacity.accelerators.value);
+    return score + free_fraction(room.accelerators.value, runner.entry.capacity.accelerators.value);
   }
   return score - free_fraction(room.cpu.value, runner.entry.capacity.cpu.value);
 }
@@ -349,10 +348,15 @@
 void placer::reserve(const waiting_step& step, std::int32_t index, std::int32_t run,
                      const runner_state& runner, instant now) {
   const team_id& tenant = step.job->submission().tenant;
-  this->state.runners.add(runner.entry.id,
-                          {{step.ref, index}, run, tenant, this->reserved(*step.shape),
-                           step.shape->need, step.shape->fills, step.shape->serves(), now,
-                           this->expected_time(step)});
+  this->state.runners.add(runner.entry.id, {{step.ref, index},
+                                            run,
+                                            tenant,
+                                            this->reserved(*step.shape),
+                                            step.shape->need,
+                                            step.shape->fills,
+                                            step.shape->serves(),
+                                            now,
+                                            this->expected_time(step)});
   this->state.tenants.add(tenant, step.shape->need);
 }
 
--- a/src/decide/runner_book.h
+++ b/src/decide/runner_book.h
@@ -22,8 +22,8 @@
   resources counted;   // Counted against the tenant's limit.
   bool fills = false;
   bool serves = false;
-  instant since;                 // When its start was decided.
-  millis expected{0};            // Usual duration; 0: it lasts.
+  instant since;       // When its start was decided.
+  millis expected{0};  // Usual duration; 0: it lasts.
 };
 
 // Identity of a run on a runner.
@@ -36,14 +36,14 @@
 // One runner as its owner sees it.
 struct runner_state {
   runner_entry entry;
-  bool listed = false;       // Its entry is in the discovery list.
-  bool admitted = false;     // It has answered under our token; room is known.
+  bool listed = false;    // Its entry is in the discovery list.
+  bool admitted = false;  // It has answered under our token; room is known.
   std::map<run_key, resident_run> residents;
   resources used;
   std::int32_t filling = 0;  // Residents that fill.
   std::int32_t serving = 0;  // Residents that serve.
   std::int32_t failures_in_row = 0;
-  instant avoid_until{0};    // Takes no new work before.
+  instant avoid_until{0};  // Takes no new work before.
 
   resources room() const { return this->entry.capacity - this->used; }
   bool takes_work(instant now) const {
--- a/src/decide/tenant_ledger.h
+++ b/src/decide/tenant_ledger.h
@@ -19,8 +19,7 @@
   // configuration does not name, such as those of open queues, have no limit.
   bool fits(const cell_config& config, const team_id& tenant, const resources& more);
   // Dominant share of `total` that the tenant uses, over its weight.
-  double weighted_share(const cell_config& config, const team_id& tenant,
-                        const resources& total);
+  double weighted_share(const cell_config& config, const team_id& tenant, const resources& total);
 
  private:
   std::unordered_map<team_id, resources> usage;
--- a/src/decide/testing/cell_builder.h
+++ b/src/decide/testing/cell_builder.h
@@ -58,8 +58,7 @@
     return this->state.jobs.emplace(job_id(id), std::move(job)).first->second;
   }
 
-  live_job& add_job(const std::string& id, const step_spec& step,
-                    const std::string& tenant = "t") {
+  live_job& add_job(const std::string& id, const step_spec& step, const std::string& tenant = "t") {
     job_spec spec;
     spec.steps = {step};
     return this->add_job(id, std::move(spec), tenant);
--- a/src/decide/testing/job_book_test.cc
+++ b/src/decide/testing/job_book_test.cc
@@ -1,7 +1,7 @@
-#include <catch2/catch.hpp>
-
 #include "decide/job_book.h"
 
+#include <catch2/catch.hpp>
+
 namespace monsoonmux::cell {
 namespace {
 
--- a/src/decide/testing/live_job_test.cc
+++ b/src/decide/testing/live_job_test.cc
@@ -1,7 +1,7 @@
-#include <catch2/catch.hpp>
-
 #include "decide/live_job.h"
 
+#include <catch2/catch.hpp>
+
 namespace monsoonmux::cell {
 namespace {
 
@@ -23,7 +23,9 @@
   return step;
 }
 
-task_ref task(std::int32_t index) { return {{job_id("j"), 0, 0}, index}; }
+task_ref task(std::int32_t index) {
+  return {{job_id("j"), 0, 0}, index};
+}
 
 TEST_CASE("Task names are read back, and other texts are none") {
   const auto parsed = parse_task_ref(task(17).text());
@@ -134,7 +136,8 @@
   live_job job = make_job(step, 1);
   for (std::int32_t run = 1; run < 5; ++run) {
     job.place(task(0), run, "r", 0, now);
-    CHECK_FALSE(job.finish(task(0), run, run % 2 == 0 ? run_end::done : run_end::failed, {}).job_final);
+    CHECK_FALSE(
+        job.finish(task(0), run, run % 2 == 0 ? run_end::done : run_end::failed, {}).job_final);
     CHECK(job.next_run(task(0)) == run + 1);
   }
 }
--- a/src/decide/testing/placer_benchmark.cc
+++ b/src/decide/testing/placer_benchmark.cc
@@ -19,8 +19,7 @@
     cell.add_runner("i-runner" + std::to_string(i), {millicores{16'000}, mebibytes{65'536}, {}});
   }
   for (int i = 0; i < jobs; ++i) {
-    const step_spec step =
-        cell_builder::step(6, {millicores{1'500}, mebibytes{2'000}, devices{0}});
+    const step_spec step = cell_builder::step(6, {millicores{1'500}, mebibytes{2'000}, devices{0}});
     cell.add_job("job" + std::to_string(1'000'000 + i), step);
   }
   placer planner(cell.state);
--- a/src/decide/testing/placer_test.cc
+++ b/src/decide/testing/placer_test.cc
@@ -1,8 +1,9 @@
+#include "decide/placer.h"
+
 #include <catch2/catch.hpp>
 #include <map>
 #include <random>
 
-#include "decide/placer.h"
 #include "decide/testing/cell_builder.h"
 
 namespace monsoonmux::cell {
@@ -211,10 +212,10 @@
     cell.state.config.tenants[0].limit = {millicores{5'000 + pick(20'000)}, mebibytes{0},
                                           devices{pick(12)}};
     for (int r = 0; r < 5; ++r) {
-      cell.add_runner("r" + std::to_string(r),
-                      {millicores{1'000 + pick(8'000)}, mebibytes{200 + pick(2'000)},
-                       devices{pick(9)}},
-                      "rack" + std::to_string(r % 2));
+      cell.add_runner(
+          "r" + std::to_string(r),
+          {millicores{1'000 + pick(8'000)}, mebibytes{200 + pick(2'000)}, devices{pick(9)}},
+          "rack" + std::to_string(r % 2));
     }
     for (int j = 0; j < 12; ++j) {
       step_spec step = cell_builder::step(
--- a/src/decide/testing/runner_book_test.cc
+++ b/src/decide/testing/runner_book_test.cc
@@ -1,7 +1,8 @@
+#include "decide/runner_book.h"
+
 #include <catch2/catch.hpp>
 
 #include "decide/run_time_book.h"
-#include "decide/runner_book.h"
 
 namespace monsoonmux::cell {
 namespace {
--- a/src/decide/urgency.h
+++ b/src/decide/urgency.h
@@ -12,10 +12,10 @@
 // that cannot, and work that is worth nothing to its submitter any more goes last,
 // but is still done.
 struct urgency {
-  bool given_up = false;         // Past the multiple of its objective that counts.
-  std::int32_t priority = 0;     // Of the queue, one more once it is late.
-  bool over_share = false;       // Its tenant uses well over its share.
-  millis slack;                  // Until the objective, less what is left to run.
+  bool given_up = false;      // Past the multiple of its objective that counts.
+  std::int32_t priority = 0;  // Of the queue, one more once it is late.
+  bool over_share = false;    // Its tenant uses well over its share.
+  millis slack;               // Until the objective, less what is left to run.
 
   auto operator<=>(const urgency&) const = default;
 };
--- a/src/model/cell_config.h
+++ b/src/model/cell_config.h
@@ -13,9 +13,9 @@
 
 // What a decision of the advice service costs, and how long it holds.
 struct advice_terms {
-  double decide_ms = 0;       // Per call.
-  double per_runner_ms = 0;   // More for each runner that a call names.
-  millis valid{0};            // Lifetime of a ticket.
+  double decide_ms = 0;      // Per call.
+  double per_runner_ms = 0;  // More for each runner that a call names.
+  millis valid{0};           // Lifetime of a ticket.
 };
 
 // A queue: where its jobs arrive and which runners run their tasks.
@@ -26,11 +26,11 @@
   pool_id service;
   std::int32_t priority = 0;  // 0 comes first.
   std::int32_t max_attempts = 1;
-  double stretch = 1;         // Objective as a multiple of the longest chain.
-  millis target_latency{0};   // Added to the objective.
-  millis timeout{0};          // For one call of a client.
+  double stretch = 1;        // Objective as a multiple of the longest chain.
+  millis target_latency{0};  // Added to the objective.
+  millis timeout{0};         // For one call of a client.
   std::optional<advice_terms> advice;
-  bool open = false;          // No key needed.
+  bool open = false;  // No key needed.
 };
 
 struct service_config {
--- a/src/model/cell_record.cc
+++ b/src/model/cell_record.cc
@@ -71,9 +71,15 @@
   return parsed_key{kind, job_id(std::string(key.substr(1)))};
 }
 
-std::string encode(const job_submission& value) { return encode_record(value); }
-std::string encode(const job_progress& value) { return encode_record(value); }
-std::string encode(const owner_claim& value) { return encode_record(value); }
+std::string encode(const job_submission& value) {
+  return encode_record(value);
+}
+std::string encode(const job_progress& value) {
+  return encode_record(value);
+}
+std::string encode(const owner_claim& value) {
+  return encode_record(value);
+}
 
 std::optional<job_submission> decode_submission(const std::string& bytes) {
   return decode_record<job_submission>(bytes);
--- a/src/model/cell_record.h
+++ b/src/model/cell_record.h
@@ -22,7 +22,7 @@
   job_id job;
   queue_id queue;
   pool_id service;
-  team_id tenant;  // Empty on open queues.
+  team_id tenant;                // Empty on open queues.
   std::int64_t accepted_ms = 0;  // Unix time in ms.
   job_spec spec;
 
@@ -96,7 +96,7 @@
   std::uint64_t nonce = 0;  // Tells this process's claims from a former life's.
   std::string peer_address;
   std::uint16_t peer_port = 0;
-  bool resigned = false;    // The owner stops; anybody may claim at once.
+  bool resigned = false;  // The owner stops; anybody may claim at once.
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/src/model/job_spec.h
+++ b/src/model/job_spec.h
@@ -48,9 +48,9 @@
 struct job_spec {
   std::string payload;  // Passed to each task unchanged.
   std::vector<step_spec> steps;
-  std::int32_t repeat_count = 0;    // 0: runs once, at once.
-  std::int64_t first_run_ms = 0;    // Unix time in ms of occurrence 0.
-  millis interval;                  // Between occurrences.
+  std::int32_t repeat_count = 0;  // 0: runs once, at once.
+  std::int64_t first_run_ms = 0;  // Unix time in ms of occurrence 0.
+  millis interval;                // Between occurrences.
 
   bool timed() const { return this->repeat_count > 0; }
   std::int32_t occurrences() const { return this->timed() ? this->repeat_count : 1; }
