--- a/src/decide/urgency.cc
+++ b/src/decide/urgency.cc
@@ -9,6 +9,10 @@
 
 // A job that took this many times its objective is worth nothing any more.
 constexpr std::int64_t worthless_after = 3;
+// Run times vary, and each step has its way to the runner and back: work with less
+// slack than this would mostly come too late.
+constexpr std::int64_t margin_per_chain = 5;  // A fifth of what is left to run.
+constexpr millis margin_at_least{150};
 // A tenant may exceed its share by this factor before it yields to others.
 constexpr double share_tolerance = 1.3;
 
@@ -84,7 +88,8 @@
   const millis left = this->chain(spec, *queue, &run);
   out.slack = objective - waited - left;
   out.given_up = waited + left > objective * worthless_after;
-  out.priority = queue->priority + (out.slack.value < 0 ? 1 : 0);
+  const bool hopeless = out.slack < left / margin_per_chain + margin_at_least;
+  out.priority = queue->priority + (hopeless ? 1 : 0);
   return out;
 }
 
