--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -361,9 +361,43 @@
     session->tick();
   }
   this->state.runners.avoid_stalled(this->services.time.now());
+  this->report_load();
   this->request_plan();
 }
 
+void owner::report_load() {
+  const instant now = this->services.time.now();
+  if (now - this->load_reported < this->options.load_report) {
+    return;
+  }
+  this->load_reported = now;
+  std::map<std::string, std::pair<resources, resources>> by_service;
+  std::int64_t taking = 0;
+  for (const auto& [id, runner] : this->state.runners.all()) {
+    auto& [used, capacity] = by_service[runner.entry.service.text];
+    used += runner.used;
+    if (runner.takes_work(now)) {
+      capacity += runner.entry.capacity;
+      ++taking;
+    }
+  }
+  nlohmann::ordered_json services_load;
+  for (const auto& [service, load] : by_service) {
+    const auto& [used, capacity] = load;
+    services_load[service] = {{"cpu_used", used.cpu.value},
+                              {"cpu", capacity.cpu.value},
+                              {"gpu_used", used.accelerators.value},
+                              {"gpu", capacity.accelerators.value}};
+  }
+  this->services.events.write("cell_load", {{"epoch", this->at.value},
+                                            {"open_jobs", this->state.jobs.size()},
+                                            {"waiting_tasks", this->waiting_tasks},
+                                            {"runners_taking_work", taking},
+                                            {"wishes_without_daemon", this->unanswered_wishes},
+                                            {"plan_ms", this->plan_took.value},
+                                            {"services", services_load}});
+}
+
 void owner::request_plan() {
   if (!this->is_active || this->plan_timer.pending()) {
     return;
@@ -403,11 +437,13 @@
                                            {"waiting_tasks", decided.waiting_tasks}});
     this->writer.write(job, [this, starts = std::move(starts)] { this->send_starts(starts); });
   }
+  this->waiting_tasks = decided.waiting_tasks;
+  this->unanswered_wishes = 0;
   for (const advice_wish& wish : decided.wishes) {
     // A long question that finds no daemon does not keep a short one from it.
-    if (this->dispatcher.ask(wish)) {
-      this->state.advice.of(wish.step).asking = true;
-    }
+    const bool asked = this->dispatcher.ask(wish);
+    this->state.advice.of(wish.step).asking = asked;
+    this->unanswered_wishes += asked ? 0 : 1;
   }
   this->services.metrics.gauge("waiting_tasks", decided.waiting_tasks);
   this->services.metrics.gauge("open_jobs", static_cast<std::int64_t>(this->state.jobs.size()));
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -23,6 +23,7 @@
   // After a round, this many times its duration is left to everything else.
   std::int64_t plan_pause = 2;
   millis tick{50};
+  millis load_report{1'000};  // Between two lines on how full the cell is.
   millis stop_grace{900};
 };
 
@@ -78,6 +79,7 @@
   void token_refused(const std::string& runner) override;
 
   void tick();
+  void report_load();
   void request_plan();
   void make_plan();
   void send_starts(const std::vector<placement>& starts);
@@ -110,6 +112,9 @@
   timer ticker;
   std::map<std::string, std::unique_ptr<runner_session>> sessions;
   instant inherited_until;
+  instant load_reported{0};
+  std::int64_t waiting_tasks = 0;
+  std::int64_t unanswered_wishes = 0;  // Of the last round: no daemon was free to ask.
   instant plan_ended{0};
   millis plan_took{0};
   bool is_active = false;
--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -17,6 +17,8 @@
 constexpr double failed_here_penalty = 100;
 // A runner that takes twice as long is taken after any emptier, faster one.
 constexpr double slowness_weight = 1;
+// A renewal of tickets is asked for this much before it is needed.
+constexpr millis renewal_margin{100};
 
 double free_fraction(std::int64_t room, std::int64_t capacity) {
   return capacity > 0 ? static_cast<double>(room) / static_cast<double>(capacity) : 0;
@@ -377,16 +379,41 @@
 }
 
 void placer::wish_for_advice(const waiting_step& step, instant now, plan& out) {
-  if (step.advice == nullptr || step.advice->asking || now < step.advice->retry_at) {
+  if (step.advice == nullptr) {
     return;
   }
   const advice_terms& terms = *step.queue->advice;
-  const instant needed_until =
-      now + this->options.ticket_margin + millis{static_cast<std::int64_t>(terms.decide_ms) + 100};
   service_round& round = this->services[step.service.text];
+  const std::size_t named = std::min(round.runners.size(), this->options.runners_per_wish);
+  round.advice_ms += terms.decide_ms + terms.per_runner_ms * static_cast<double>(named);
+  const bool in_window = round.advice_ms <= static_cast<double>(this->options.advice_window.value);
+  if (!in_window || step.advice->asking || now < step.advice->retry_at ||
+      round.asked >= this->options.questions) {
+    return;
+  }
+  const std::vector<runner_state*> chosen = this->runners_to_ask_about(step, now);
+  if (chosen.empty()) {
+    return;
+  }
+  ++round.asked;
+  advice_wish wish{step.ref, terms, {}};
+  for (const runner_state* runner : chosen) {
+    if (wish.runners.size() >= this->options.runners_per_wish) {
+      break;
+    }
+    wish.runners.push_back(runner->entry.id);
+  }
+  out.wishes.push_back(std::move(wish));
+}
+
+// Those that were never asked about; if there are none, those that are good and
+// whose tickets expire before a new one could come. The emptiest come first.
+std::vector<runner_state*> placer::runners_to_ask_about(const waiting_step& step, instant now) {
+  const millis decide{static_cast<std::int64_t>(step.queue->advice->decide_ms)};
+  const instant needed_until = now + this->options.ticket_margin + decide + renewal_margin;
   std::vector<runner_state*> unasked;
   std::vector<runner_state*> expiring;
-  for (runner_state* runner : round.runners) {
+  for (runner_state* runner : this->services[step.service.text].runners) {
     if (!runner->takes_work(now) || !step.shape->need.fits(runner->entry.capacity)) {
       continue;
     }
@@ -397,24 +424,11 @@
       expiring.push_back(runner);
     }
   }
-  const bool first_time = !unasked.empty();
-  std::vector<runner_state*>& chosen = first_time ? unasked : expiring;
-  std::size_t& made = first_time ? round.asked : round.warmed;
-  if (chosen.empty() || made >= (first_time ? this->options.questions : this->options.warm_steps)) {
-    return;
-  }
-  ++made;
+  std::vector<runner_state*> chosen = unasked.empty() ? std::move(expiring) : std::move(unasked);
   std::sort(chosen.begin(), chosen.end(), [](const runner_state* a, const runner_state* b) {
     return a->room().cpu > b->room().cpu;
   });
-  advice_wish wish{step.ref, terms, {}};
-  for (const runner_state* runner : chosen) {
-    if (wish.runners.size() >= this->options.runners_per_wish) {
-      break;
-    }
-    wish.runners.push_back(runner->entry.id);
-  }
-  out.wishes.push_back(std::move(wish));
+  return chosen;
 }
 
 }  // namespace monsoonmux::cell
--- a/src/decide/placer.h
+++ b/src/decide/placer.h
@@ -35,9 +35,10 @@
 struct placer_options {
   // Runners that one question to the advice service names at most.
   std::size_t runners_per_wish = 30;
-  // Waiting steps of one service whose tickets are renewed ahead of need.
-  std::size_t warm_steps = 6;
-  // Steps of one service that a round asks about for the first time.
+  // The most urgent waiting steps of a service hold or get tickets, as many as
+  // questions of this much work are for; the others would only see theirs expire.
+  millis advice_window{4'000};
+  // Questions of one service in one round.
   std::size_t questions = 16;
   // After so many steps of one service that found no runner, a round leaves the
   // less urgent ones alone; bounds what a round costs in an overloaded cell.
@@ -92,6 +93,7 @@
   std::size_t members_that_fit(const waiting_step& step, const runner_state& runner) const;
   bool yields_to_claim(const waiting_step& step, const runner_state& runner, instant now) const;
   void wish_for_advice(const waiting_step& step, instant now, plan& out);
+  std::vector<runner_state*> runners_to_ask_about(const waiting_step& step, instant now);
   bool permitted(const waiting_step& step, const runner_state& runner) const;
   bool may_take(const waiting_step& step, const runner_state& runner, instant now) const;
   choice best_runner(const waiting_step& step, const live_task& task, instant now,
@@ -112,8 +114,8 @@
   // Of the round under way.
   struct service_round {
     std::vector<runner_state*> runners;
-    std::size_t warmed = 0;
     std::size_t asked = 0;
+    double advice_ms = 0;  // Work of the questions for the steps seen so far.
     std::size_t claims = 0;
     std::size_t blocked = 0;
   };
--- a/src/decide/runner_book.cc
+++ b/src/decide/runner_book.cc
@@ -59,7 +59,8 @@
     std::int32_t overdue = 0;
     std::int32_t others = 0;
     for (const auto& [key, run] : runner.residents) {
-      if (run.expected.value <= 0) {
+      // Work that fills is slow by design while others are busy.
+      if (run.expected.value <= 0 || run.fills) {
         continue;
       }
       const bool late = now - run.since > run.expected * this->options.overdue_factor;
