--- a/src/async/event_log.cc
+++ b/src/async/event_log.cc
@@ -19,7 +19,7 @@
   this->flush();
 }
 
-void event_log::write(std::string_view event, nlohmann::ordered_json fields) {
+void event_log::write(std::string_view event, const nlohmann::ordered_json& fields) {
   nlohmann::ordered_json line;
   line["t_ms"] = this->time.wall_ms();
   line["daemon"] = this->daemon;
--- a/src/async/event_log.h
+++ b/src/async/event_log.h
@@ -26,7 +26,7 @@
   event_log& operator=(const event_log&) = delete;
 
   // Adds time, daemon and event name to `fields` and writes the line.
-  void write(std::string_view event, nlohmann::ordered_json fields);
+  void write(std::string_view event, const nlohmann::ordered_json& fields);
   // Passes waiting bytes on.
   void flush();
   std::int64_t dropped() const { return this->dropped_total; }
--- a/src/async/latency_histogram.cc
+++ b/src/async/latency_histogram.cc
@@ -16,7 +16,8 @@
   for (std::size_t i = 0; i < this->counts.size(); ++i) {
     total += this->counts[i];
     const std::string bound = i < bounds.size() ? std::to_string(bounds[i]) : "+Inf";
-    out += name + "_bucket{le=\"" + bound + "\"} " + std::to_string(total) + "\n";
+    out.append(name).append("_bucket{le=\"").append(bound).append("\"} ");
+    out.append(std::to_string(total)).append("\n");
   }
   out += name + "_sum " + std::to_string(this->sum_ms) + "\n";
   out += name + "_count " + std::to_string(total) + "\n";
--- a/src/cell/job_desk.cc
+++ b/src/cell/job_desk.cc
@@ -49,7 +49,7 @@
 }
 
 void job_desk::submit(const caller& from, const job_id& job, job_spec spec, instant deadline,
-                      reply<void> on_answer) {
+                      const reply<void>& on_answer) {
   if (const auto valid = validate(spec); valid.has_error()) {
     on_answer(valid.error());
     return;
@@ -107,7 +107,7 @@
   return std::optional<job_phase>();
 }
 
-void job_desk::cancel(const job_id& job, instant deadline, reply<bool> on_answer) {
+void job_desk::cancel(const job_id& job, instant deadline, const reply<bool>& on_answer) {
   const auto phase = this->phase_of(job);
   if (phase.has_error()) {
     on_answer(phase.error());
--- a/src/cell/job_desk.h
+++ b/src/cell/job_desk.h
@@ -47,11 +47,11 @@
   result<caller> identify(const std::string& host, const std::string& path,
                           const std::string& key) const;
   void submit(const caller& from, const job_id& job, job_spec spec, instant deadline,
-              reply<void> on_answer);
+              const reply<void>& on_answer);
   // Nothing if there is no such job.
   result<std::optional<job_phase>> phase_of(const job_id& job) const;
   // False if there is no such job.
-  void cancel(const job_id& job, instant deadline, reply<bool> on_answer);
+  void cancel(const job_id& job, instant deadline, const reply<bool>& on_answer);
   result<std::int64_t> pending(const caller& from) const;
 
  private:
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -43,8 +43,8 @@
 
 owner::~owner() = default;
 
-void owner::fence(std::function<void(std::int64_t)> on_fenced) {
-  this->writer.fence(std::move(on_fenced));
+void owner::fence(const std::function<void(std::int64_t)>& on_fenced) {
+  this->writer.fence(on_fenced);
 }
 
 void owner::take_over(const job_book& book, const cell_config& config) {
@@ -110,9 +110,9 @@
 runner_session& owner::session_of(const std::string& runner) {
   auto& session = this->sessions[runner];
   if (!session) {
-    session = std::make_unique<runner_session>(
-        this->services.io, this->services.runners, this->services.time, this->services.events,
-        *this, runner, this->at, this->inherited_until, this->options.session);
+    session = std::make_unique<runner_session>(this->services.runners, this->services.time,
+                                               this->services.events, *this, runner, this->at,
+                                               this->inherited_until, this->options.session);
   }
   return *session;
 }
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -55,7 +55,7 @@
   ~owner() override;
 
   // First of all; `on_fenced` gets the end of the log.
-  void fence(std::function<void(std::int64_t)> on_fenced);
+  void fence(const std::function<void(std::int64_t)>& on_fenced);
   // The book holds all records up to the fence.
   void take_over(const job_book& book, const cell_config& config);
   bool active() const { return this->is_active; }
--- a/src/cell/ownership.cc
+++ b/src/cell/ownership.cc
@@ -152,7 +152,7 @@
                      });
 }
 
-void ownership::append_claim(owner_claim next,
+void ownership::append_claim(const owner_claim& next,
                              std::function<void(const append_answer&)> on_answer) {
   append_request request;
   request.topic = owner_topic;
--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -64,7 +64,7 @@
   void tick();
   void renew();
   void claim_next();
-  void append_claim(owner_claim next, std::function<void(const append_answer&)> on_answer);
+  void append_claim(const owner_claim& next, std::function<void(const append_answer&)> on_answer);
   millis claim_delay() const;
 
   shared_log& log;
--- a/src/cell/progress_writer.cc
+++ b/src/cell/progress_writer.cc
@@ -22,7 +22,7 @@
   *this->alive = false;
 }
 
-void progress_writer::fence(std::function<void(std::int64_t)> on_done) {
+void progress_writer::fence(const std::function<void(std::int64_t)>& on_done) {
   append_request request;
   request.topic = work_topic;
   request.producer = producer_stamp{owner_producer, this->at, 0};
--- a/src/cell/progress_writer.h
+++ b/src/cell/progress_writer.h
@@ -36,7 +36,7 @@
   progress_writer& operator=(const progress_writer&) = delete;
 
   // Shuts out owners of lower epochs; `on_done` gets the end of the topic.
-  void fence(std::function<void(std::int64_t)> on_done);
+  void fence(const std::function<void(std::int64_t)>& on_done);
   // Writes the job's record soon, then calls `on_stored`.
   void write(const job_id& job, std::function<void()> on_stored = {});
   bool idle() const { return !this->in_flight && this->dirty.empty(); }
--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -48,11 +48,10 @@
   return "unknown";
 }
 
-runner_session::runner_session(event_loop& loop, runner_port& orders, const clock& now,
-                               event_log& out, session_events& to, std::string name, epoch under,
+runner_session::runner_session(runner_port& orders, const clock& now, event_log& out,
+                               session_events& to, std::string name, epoch under,
                                instant inherited_until, const session_options& given)
-    : io(loop),
-      port(orders),
+    : port(orders),
       time(now),
       events(out),
       owner(to),
@@ -239,6 +238,14 @@
   }
 }
 
+bool runner_session::lists(const hold_report& report, const run_key& run) {
+  const std::string name = run.task.text();
+  return std::any_of(report.running.begin(), report.running.end(),
+                     [&name, &run](const running_run& running) {
+                       return running.run == run.run && running.task == name;
+                     });
+}
+
 void runner_session::close_missing(const hold_report& report, instant sent) {
   std::vector<run_key> missing;
   for (const auto& [run, l] : this->runs) {
@@ -246,11 +253,7 @@
     if (!l.recovered && !answered_before) {
       continue;
     }
-    const std::string name = run.task.text();
-    const bool runs_there = std::any_of(
-        report.running.begin(), report.running.end(),
-        [&](const running_run& running) { return running.run == run.run && running.task == name; });
-    if (!runs_there) {
+    if (!lists(report, run)) {
       missing.push_back(run);
     }
   }
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -49,8 +49,8 @@
 // harmless; if that does not help either, an answered stop closes the run.
 class runner_session {
  public:
-  runner_session(event_loop& io, runner_port& port, const clock& time, event_log& events,
-                 session_events& owner, std::string id, epoch token, instant inherited_until,
+  runner_session(runner_port& port, const clock& time, event_log& events, session_events& owner,
+                 std::string id, epoch token, instant inherited_until,
                  const session_options& options);
   ~runner_session();
   runner_session(const runner_session&) = delete;
@@ -87,6 +87,7 @@
   void reborn(std::int64_t born);
   void take_ends(const hold_report& report);
   void take_running(const hold_report& report);
+  static bool lists(const hold_report& report, const run_key& run);
   void close_missing(const hold_report& report, instant sent);
   void send_start(const run_key& run);
   void started(const run_key& run, const order_answer& answer);
@@ -100,7 +101,6 @@
   order_target target() const;
   bool reachable() const { return !this->entry.address.empty(); }
 
-  event_loop& io;
   runner_port& port;
   const clock& time;
   event_log& events;
