--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -26,7 +26,7 @@
       on_over(std::move(over)),
       planner(this->state, chosen.placement),
       writer(
-          given.io, given.log, given.events, under,
+          given.io, given.log, given.time, given.events, under,
           [this](const job_id& job) { return this->progress_record(job); },
           [this] { this->on_over("fenced in the log"); }),
       dispatcher(given.peers, given.advice, given.time, given.events, this->self,
@@ -414,7 +414,7 @@
 }
 
 void owner::make_plan() {
-  if (!this->may_order()) {
+  if (!this->may_order() || this->writer.stalled_for() > this->options.writer_stall) {
     return;  // What is placed now could not be started; tick() asks again.
   }
   const instant now = this->services.time.now();
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -23,6 +23,9 @@
   // After a round, this many times its duration is left to everything else.
   std::int64_t plan_pause = 2;
   millis tick{50};
+  // An append takes some 10 ms, and a few hundred when the log is slow. After this
+  // the log counts as away, and nothing is placed that only it could set going.
+  millis writer_stall{700};
   millis load_report{1'000};  // Between two lines on how full the cell is.
   millis stop_grace{900};
 };
--- a/src/cell/progress_writer.cc
+++ b/src/cell/progress_writer.cc
@@ -6,11 +6,12 @@
 
 namespace monsoonmux::cell {
 
-progress_writer::progress_writer(event_loop& loop, shared_log& target, event_log& out, epoch under,
-                                 record_source make, std::function<void()> fenced,
-                                 const progress_writer_options& given)
+progress_writer::progress_writer(event_loop& loop, shared_log& target, const clock& now,
+                                 event_log& out, epoch under, record_source make,
+                                 std::function<void()> fenced, const progress_writer_options& given)
     : io(loop),
       log(target),
+      time(now),
       events(out),
       at(under),
       source(std::move(make)),
@@ -22,6 +23,10 @@
   *this->alive = false;
 }
 
+millis progress_writer::stalled_for() const {
+  return this->in_flight ? this->time.now() - this->begun : millis{0};
+}
+
 void progress_writer::fence(const std::function<void(std::int64_t)>& on_done) {
   append_request request;
   request.topic = work_topic;
@@ -92,6 +97,7 @@
     return;
   }
   this->in_flight = true;
+  this->begun = this->time.now();
   this->send();
 }
 
--- a/src/cell/progress_writer.h
+++ b/src/cell/progress_writer.h
@@ -28,7 +28,7 @@
   // Makes the newest record of a job.
   using record_source = std::function<keyed_record(const job_id&)>;
 
-  progress_writer(event_loop& io, shared_log& log, event_log& events, epoch at,
+  progress_writer(event_loop& io, shared_log& log, const clock& time, event_log& events, epoch at,
                   record_source source, std::function<void()> on_fenced,
                   const progress_writer_options& options = {});
   ~progress_writer();
@@ -39,6 +39,8 @@
   void fence(const std::function<void(std::int64_t)>& on_done);
   // Writes the job's record soon, then calls `on_stored`.
   void write(const job_id& job, std::function<void()> on_stored = {});
+  // How long the append under way has been without success; 0 if there is none.
+  millis stalled_for() const;
   bool idle() const { return !this->in_flight && this->dirty.empty(); }
 
  private:
@@ -54,6 +56,7 @@
 
   event_loop& io;
   shared_log& log;
+  const clock& time;
   event_log& events;
   const epoch at;
   const record_source source;
@@ -64,6 +67,7 @@
   std::vector<std::function<void()>> followers;
   batch current;
   bool in_flight = false;
+  instant begun{0};  // Of the append under way.
   bool over = false;
   bool flush_posted = false;
   std::int64_t next_sequence = 1;
--- a/src/cell/testing/cell_test.cc
+++ b/src/cell/testing/cell_test.cc
@@ -145,6 +145,22 @@
   check_history(cell);
 }
 
+TEST_CASE("Nothing is placed while the log does not take it") {
+  // What was placed in an outage could not start in time and would be taken back.
+  fake_cell cell(1, 1, 8);
+  cell.loop.run_for(boot_time);
+  cell.submit(0, job_name(0), fake_cell::simple_job(8));
+  cell.loop.run_for(millis{500});
+  REQUIRE(cell.history.starts == 4);
+  cell.store.down = true;
+  cell.loop.run_for(millis{5'000});
+  cell.store.down = false;
+  cell.loop.run_for(millis{5'000});
+  CHECK(cell.phase(job_name(0)) == job_phase::completed);
+  CHECK(cell.nodes[0]->metrics.text().find("runs_gone") == std::string::npos);
+  check_history(cell);
+}
+
 // Draws faults for some seconds, heals everything, and checks that what was
 // accepted is completed and that nothing ran twice, late or after a refusal.
 void random_day(std::uint32_t seed) {
