--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -398,6 +398,25 @@
                                             {"services", services_load}});
 }
 
+void owner::report_waiting(const std::vector<waiting_reason>& reasons) {
+  const instant now = this->services.time.now();
+  if (now - this->waiting_reported < this->options.load_report) {
+    return;
+  }
+  this->waiting_reported = now;
+  for (const waiting_reason& why : reasons) {
+    this->services.events.write("step_waits", {{"step", why.step.text()},
+                                               {"tasks", why.tasks},
+                                               {"given_up", why.given_up},
+                                               {"takes_no_work", why.takes_no_work},
+                                               {"claimed", why.claimed},
+                                               {"no_room", why.no_room},
+                                               {"not_permitted", why.not_permitted},
+                                               {"not_good", why.not_good},
+                                               {"no_ticket", why.no_ticket}});
+  }
+}
+
 void owner::request_plan() {
   if (!this->is_active || this->plan_timer.pending()) {
     return;
@@ -438,6 +457,7 @@
     this->writer.write(job, [this, starts = std::move(starts)] { this->send_starts(starts); });
   }
   this->waiting_tasks = decided.waiting_tasks;
+  this->report_waiting(decided.reasons);
   this->unanswered_wishes = 0;
   for (const advice_wish& wish : decided.wishes) {
     // A long question that finds no daemon does not keep a short one from it.
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -83,6 +83,7 @@
 
   void tick();
   void report_load();
+  void report_waiting(const std::vector<waiting_reason>& reasons);
   void request_plan();
   void make_plan();
   void send_starts(const std::vector<placement>& starts);
@@ -116,6 +117,7 @@
   std::map<std::string, std::unique_ptr<runner_session>> sessions;
   instant inherited_until;
   instant load_reported{0};
+  instant waiting_reported{0};
   std::int64_t waiting_tasks = 0;
   std::int64_t unanswered_wishes = 0;  // Of the last round: no daemon was free to ask.
   instant plan_ended{0};
--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -7,6 +7,7 @@
 #include "decide/placer.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace monsoonmux::cell {
 namespace {
@@ -39,6 +40,8 @@
 plan placer::decide(instant now, std::int64_t wall_ms) {
   this->services.clear();
   this->claimed.clear();
+  this->claims_before.swap(this->claims_now);
+  this->claims_now.clear();
   for (auto& [id, runner] : this->state.runners.all()) {
     this->services[runner.entry.service.text].runners.push_back(&runner);
   }
@@ -144,6 +147,9 @@
   } else {
     this->claim_runners(step, now);
   }
+  if (round.blocked < this->options.explained_steps) {
+    out.reasons.push_back(this->explain(step, now));
+  }
   ++round.blocked;
   this->wish_for_advice(step, now, out);
 }
@@ -222,47 +228,67 @@
   return fits;
 }
 
-// Keeps the runners that will be free for the gang first from filling up again. A
-// gang that would not fit on all of its runners even when they are empty claims
-// none: it would hold them idle for nothing.
-void placer::claim_runners(const waiting_step& step, instant now) {
-  service_round& round = this->services[step.service.text];
-  if (round.claims >= this->options.claiming_gangs || step.order.given_up) {
-    return;
+instant placer::free_at(const runner_state& runner, instant now) {
+  instant out = now;
+  for (const auto& [key, run] : runner.residents) {
+    out = std::max(out, run.since + run.expected);
   }
+  return out;
+}
+
+std::vector<runner_state*> placer::runners_to_claim(const waiting_step& step, instant now) {
   std::vector<runner_state*> usable;
-  for (runner_state* runner : round.runners) {
+  for (runner_state* runner : this->services[step.service.text].runners) {
     const bool good = step.advice == nullptr || step.advice->known_good(runner->entry.id);
     if (good && runner->listed && !runner->entry.draining &&
         !this->claimed.contains(runner->entry.id)) {
       usable.push_back(runner);
     }
   }
-  std::sort(usable.begin(), usable.end(), [](const runner_state* a, const runner_state* b) {
-    return a->room().accelerators > b->room().accelerators;
+  const auto before = this->claims_before.find(step.ref);
+  const auto was_claimed = [&](const runner_state* runner) {
+    return before != this->claims_before.end() &&
+           std::find(before->second.begin(), before->second.end(), runner->entry.id) !=
+               before->second.end();
+  };
+  std::sort(usable.begin(), usable.end(), [&](const runner_state* a, const runner_state* b) {
+    return std::tuple(!was_claimed(a), free_at(*a, now), b->room().accelerators) <
+           std::tuple(!was_claimed(b), free_at(*b, now), a->room().accelerators);
   });
   std::size_t missing = step.tasks.size();
-  std::vector<const runner_state*> chosen;
-  instant free_at = now;
-  for (const runner_state* runner : usable) {
+  std::vector<runner_state*> chosen;
+  for (runner_state* runner : usable) {
     const std::size_t fits = std::min(missing, this->members_that_fit(step, *runner));
-    if (fits == 0) {
-      continue;
-    }
-    missing -= fits;
-    chosen.push_back(runner);
-    for (const auto& [key, run] : runner->residents) {
-      free_at = std::max(free_at, run.since + run.expected);
+    if (fits > 0) {
+      chosen.push_back(runner);
+      missing -= fits;
     }
     if (missing == 0) {
-      break;
+      return chosen;
     }
   }
-  if (missing > 0) {
+  return {};
+}
+
+// Keeps the runners that will be free for the gang first from filling up again. A
+// gang that would not fit on all of its runners even when they are empty claims
+// none: it would hold them idle for nothing.
+void placer::claim_runners(const waiting_step& step, instant now) {
+  service_round& round = this->services[step.service.text];
+  if (round.claims >= this->options.claiming_gangs) {
+    return;
+  }
+  const std::vector<runner_state*> chosen = this->runners_to_claim(step, now);
+  if (chosen.empty()) {
     return;
   }
+  instant all_free = now;
+  for (const runner_state* runner : chosen) {
+    all_free = std::max(all_free, free_at(*runner, now));
+  }
   for (const runner_state* runner : chosen) {
-    this->claimed.emplace(runner->entry.id, claim{step.ref, free_at});
+    this->claimed.emplace(runner->entry.id, claim{step.ref, all_free});
+    this->claims_now[step.ref].push_back(runner->entry.id);
   }
   ++round.claims;
 }
@@ -278,6 +304,29 @@
   return usual.value <= 0 || now + usual > it->second.free_at;
 }
 
+waiting_reason placer::explain(const waiting_step& step, instant now) {
+  waiting_reason out;
+  out.step = step.ref;
+  out.tasks = step.tasks.size();
+  out.given_up = step.order.given_up;
+  for (const runner_state* runner : this->services[step.service.text].runners) {
+    if (!runner->takes_work(now)) {
+      ++out.takes_no_work;
+    } else if (this->yields_to_claim(step, *runner, now)) {
+      ++out.claimed;
+    } else if (!this->reserved(*step.shape).fits(runner->room())) {
+      ++out.no_room;
+    } else if (!this->permitted(step, *runner)) {
+      ++out.not_permitted;
+    } else if (step.advice != nullptr && !step.advice->known_good(runner->entry.id)) {
+      ++out.not_good;
+    } else if (!this->may_take(step, *runner, now)) {
+      ++out.no_ticket;
+    }
+  }
+  return out;
+}
+
 bool placer::permitted(const waiting_step& step, const runner_state& runner) const {
   if (!step.shape->required_label.empty() && !runner.has_label(step.shape->required_label)) {
     return false;
--- a/src/decide/placer.h
+++ b/src/decide/placer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -26,10 +27,25 @@
   std::vector<std::string> runners;
 };
 
+// Why a step found no runner: how many runners of its service fell out for which
+// reason, the first that applied.
+struct waiting_reason {
+  step_ref step;
+  std::size_t tasks = 0;
+  bool given_up = false;
+  std::int32_t takes_no_work = 0;
+  std::int32_t claimed = 0;
+  std::int32_t no_room = 0;
+  std::int32_t not_permitted = 0;
+  std::int32_t not_good = 0;  // By the advice service.
+  std::int32_t no_ticket = 0;
+};
+
 struct plan {
   std::vector<placement> placements;
   std::vector<advice_wish> wishes;
   std::int64_t waiting_tasks = 0;
+  std::vector<waiting_reason> reasons;  // Of the first blocked steps of each service.
 };
 
 struct placer_options {
@@ -38,13 +54,15 @@
   // The most urgent waiting steps of a service hold or get tickets, as many as
   // questions of this much work are for; the others would only see theirs expire.
   millis advice_window{4'000};
+  // Blocked steps of one service whose reasons a round tells.
+  std::size_t explained_steps = 2;
   // Questions of one service in one round.
   std::size_t questions = 16;
   // After so many steps of one service that found no runner, a round leaves the
   // less urgent ones alone; bounds what a round costs in an overloaded cell.
   std::size_t blocked_steps = 64;
   // Gangs of one service that hold runners back for themselves.
-  std::size_t claiming_gangs = 1;
+  std::size_t claiming_gangs = 2;
   // A step whose tickets are wanted is asked about this long before it is ready.
   millis ask_ahead{700};
   // Time for a start to reach its runner while its ticket is still valid.
@@ -90,10 +108,15 @@
   bool place_tasks(const waiting_step& step, instant now, plan& out);
   bool place_gang(const waiting_step& step, instant now, plan& out);
   void claim_runners(const waiting_step& step, instant now);
+  // The runners that the gang claimed in the last round, if they still serve;
+  // otherwise those that will be free for it first. Empty if it fits on none.
+  std::vector<runner_state*> runners_to_claim(const waiting_step& step, instant now);
+  static instant free_at(const runner_state& runner, instant now);
   std::size_t members_that_fit(const waiting_step& step, const runner_state& runner) const;
   bool yields_to_claim(const waiting_step& step, const runner_state& runner, instant now) const;
   void wish_for_advice(const waiting_step& step, instant now, plan& out);
   std::vector<runner_state*> runners_to_ask_about(const waiting_step& step, instant now);
+  waiting_reason explain(const waiting_step& step, instant now);
   bool permitted(const waiting_step& step, const runner_state& runner) const;
   bool may_take(const waiting_step& step, const runner_state& runner, instant now) const;
   choice best_runner(const waiting_step& step, const live_task& task, instant now,
@@ -125,6 +148,10 @@
     instant free_at;  // When the claimant can expect all of its runners.
   };
   std::unordered_map<std::string, claim> claimed;
+  // Runners that gangs claimed in the last round. A claim that moved from runner to
+  // runner would never see any of them empty.
+  std::map<step_ref, std::vector<std::string>> claims_before;
+  std::map<step_ref, std::vector<std::string>> claims_now;
 };
 
 }  // namespace monsoonmux::cell
--- a/src/decide/testing/placer_test.cc
+++ b/src/decide/testing/placer_test.cc
@@ -109,6 +109,44 @@
   CHECK(p.placements[0].task.in.job == job_id("b-brief"));
 }
 
+TEST_CASE("A gang's claim stays on its runner until the gang fits there") {
+  // Two runners, each half taken by short work that never stops coming.
+  cell_builder cell;
+  cell.queue().stretch = 1'000;  // Nothing is late here.
+  cell.add_runner("a", gpu_runner);
+  cell.add_runner("b", gpu_runner);
+  placer planner(cell.state);
+  std::vector<std::pair<placement, instant>> running;
+  const auto step_time = [&] {
+    for (const placement& p : planner.decide(cell.now, cell.now.value).placements) {
+      running.emplace_back(p, cell.now + millis{1'000});
+    }
+    cell.now = cell.now + millis{100};
+    std::erase_if(running, [&](const auto& run) {
+      if (run.second > cell.now) {
+        return false;
+      }
+      cell.state.runners.remove(run.first.runner, {run.first.task, run.first.run});
+      cell.state.jobs.at(run.first.task.in.job).finish(run.first.task, 1, run_end::done, {});
+      return true;
+    });
+  };
+  step_spec half = cell_builder::step(1, gpu_task);
+  int jobs = 0;
+  for (int i = 0; i < 5; ++i) {
+    cell.add_job("s" + std::to_string(1'000 + jobs++), half);
+    step_time();
+  }
+  step_spec gang = cell_builder::step(1, {millicores{1}, mebibytes{1}, devices{8}});
+  gang.gang = true;
+  cell.add_job("gang", gang);
+  for (int i = 0; i < 60 && cell.state.jobs.at(job_id("gang")).phase() == job_phase::queued; ++i) {
+    cell.add_job("s" + std::to_string(1'000 + jobs++), half);
+    step_time();
+  }
+  CHECK(cell.state.jobs.at(job_id("gang")).phase() != job_phase::queued);
+}
+
 TEST_CASE("Labels and anti-affinity hold, and the data's rack comes first") {
   cell_builder cell;
   cell.add_runner("a", small_runner, "r1");
