--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -2,11 +2,12 @@
 
 #include <algorithm>
 
+#include "cell/slow_clock.h"
+
 namespace monsoonmux::cell {
 namespace {
 
-// A lease may last this much longer than asked for, on a slow clock.
-constexpr double slow_clock_factor = 1.03;
+// For an order of a former owner that was just being handled.
 constexpr millis inherited_margin{300};
 // After advice that did not come.
 constexpr millis advice_retry{150};
@@ -36,9 +37,8 @@
                  }),
       plan_timer(given.io),
       ticker(given.io) {
-  const auto longest_lease = static_cast<std::int64_t>(
-      static_cast<double>(chosen.session.hold_max.value) * slow_clock_factor);
-  this->inherited_until = former_orders_until + millis{longest_lease} + inherited_margin;
+  this->inherited_until =
+      former_orders_until + longest_real_time(chosen.session.hold_max) + inherited_margin;
 }
 
 owner::~owner() = default;
--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -3,11 +3,11 @@
 #include <algorithm>
 #include <vector>
 
+#include "cell/slow_clock.h"
+
 namespace monsoonmux::cell {
 namespace {
 
-// Runners' clocks may be 2% slow; a little more is allowed for.
-constexpr double slow_clock_factor = 1.03;
 // For an order that was just being handled when its lease end passed.
 constexpr millis lapse_margin{300};
 // Answers overtake each other by less than this.
@@ -16,8 +16,7 @@
 constexpr millis renew_after{1'500};
 
 millis lapse_time(millis lease) {
-  return millis{static_cast<std::int64_t>(static_cast<double>(lease.value) * slow_clock_factor)} +
-         lapse_margin;
+  return longest_real_time(lease) + lapse_margin;
 }
 
 }  // namespace
@@ -91,8 +90,7 @@
 // A lower bound of the runner's clock.
 std::int64_t runner_session::clock_now() const {
   const millis since = this->time.now() - this->clock_at;
-  return this->clock_ms +
-         static_cast<std::int64_t>(static_cast<double>(since.value) / slow_clock_factor);
+  return this->clock_ms + shortest_runner_time(since).value;
 }
 
 std::int64_t runner_session::lease_until() const {
