A declared duration no longer shows that a runner stands still

Cause: after a takeover (and before any task of a queue has ended) the usual time of a run was what its submitter declared, which is far too short at times. Ruled out: runners that did not answer (they were admitted within 0.3 s of the takeover), room (2 accelerators of 16 in use were reported as free). Test: A declared duration does not show that a runner stands still (seen red). The entry of a run is now built in one place, resident_of.

--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -90,14 +90,9 @@
     return;
   }
   const step_spec& shape = job.spec().steps[static_cast<std::size_t>(task.in.step)];
-  resources reserved = shape.need;
-  if (shape.fills) {
-    reserved.cpu = millicores{0};
-  }
   const team_id& tenant = job.submission().tenant;
   this->state.runners.add(
-      t.runner, {task, t.run, tenant, reserved, shape.need, shape.fills, shape.serves(),
-                 this->services.time.now(), shape.long_running ? millis{0} : shape.estimate});
+      t.runner, resident_of(this->state, job, task, t.run, this->services.time.now()));
   this->state.tenants.add(tenant, shape.need);
   this->session_of(t.runner).recover({task, t.run});
 }
--- /dev/null
+++ b/src/decide/cell_state.cc
@@ -0,0 +1,33 @@
+#include "decide/cell_state.h"
+
+namespace monsoonmux::cell {
+
+resources reserved_room(const step_spec& shape) {
+  resources amount = shape.need;
+  if (shape.fills) {
+    amount.cpu = millicores{0};
+  }
+  return amount;
+}
+
+resident_run resident_of(const cell_state& state, const live_job& job, const task_ref& task,
+                         std::int32_t run, instant since) {
+  const step_spec& shape = job.spec().steps[static_cast<std::size_t>(task.in.step)];
+  const queue_id& queue = job.submission().queue;
+  resident_run out;
+  out.task = task;
+  out.run = run;
+  out.tenant = job.submission().tenant;
+  out.reserved = reserved_room(shape);
+  out.counted = shape.need;
+  out.fills = shape.fills;
+  out.serves = shape.serves();
+  out.since = since;
+  if (!shape.long_running) {
+    out.expected = state.run_times.expected(queue, shape.estimate);
+    out.expected_is_learned = state.run_times.learned(queue);
+  }
+  return out;
+}
+
+}  // namespace monsoonmux::cell
--- a/src/decide/cell_state.h
+++ b/src/decide/cell_state.h
@@ -21,4 +21,13 @@
   run_time_book run_times;
 };
 
+// The processor time, memory and accelerators that a task of the step takes from
+// its runner's room. Work that fills takes no processor time from it.
+resources reserved_room(const step_spec& shape);
+
+// The entry that a run of the task gets in the book of its runner. `since`: when its
+// start was decided, or when the present owner learned of it.
+resident_run resident_of(const cell_state& state, const live_job& job, const task_ref& task,
+                         std::int32_t run, instant since);
+
 }  // namespace monsoonmux::cell
--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -29,14 +29,6 @@
 
 placer::placer(cell_state& cell, const placer_options& given) : state(cell), options(given) {}
 
-resources placer::reserved(const step_spec& shape) const {
-  resources amount = shape.need;
-  if (shape.fills) {
-    amount.cpu = millicores{0};
-  }
-  return amount;
-}
-
 plan placer::decide(instant now, std::int64_t wall_ms) {
   this->services.clear();
   this->claimed.clear();
@@ -218,7 +210,7 @@
 }
 
 std::size_t placer::members_that_fit(const waiting_step& step, const runner_state& runner) const {
-  const resources each = this->reserved(*step.shape);
+  const resources each = reserved_room(*step.shape);
   std::size_t fits = 0;
   resources taken = each;
   while (fits < step.tasks.size() && taken.fits(runner.entry.capacity)) {
@@ -314,7 +306,7 @@
       ++out.takes_no_work;
     } else if (this->yields_to_claim(step, *runner, now)) {
       ++out.claimed;
-    } else if (!this->reserved(*step.shape).fits(runner->room())) {
+    } else if (!reserved_room(*step.shape).fits(runner->room())) {
       ++out.no_room;
     } else if (!this->permitted(step, *runner)) {
       ++out.not_permitted;
@@ -345,7 +337,7 @@
 }
 
 bool placer::may_take(const waiting_step& step, const runner_state& runner, instant now) const {
-  if (!runner.takes_work(now) || !this->reserved(*step.shape).fits(runner.room()) ||
+  if (!runner.takes_work(now) || !reserved_room(*step.shape).fits(runner.room()) ||
       !this->permitted(step, runner) || this->yields_to_claim(step, runner, now)) {
     return false;
   }
@@ -399,15 +391,8 @@
 void placer::reserve(const waiting_step& step, std::int32_t index, std::int32_t run,
                      const runner_state& runner, instant now) {
   const team_id& tenant = step.job->submission().tenant;
-  this->state.runners.add(runner.entry.id, {{step.ref, index},
-                                            run,
-                                            tenant,
-                                            this->reserved(*step.shape),
-                                            step.shape->need,
-                                            step.shape->fills,
-                                            step.shape->serves(),
-                                            now,
-                                            this->expected_time(step)});
+  this->state.runners.add(runner.entry.id,
+                          resident_of(this->state, *step.job, {step.ref, index}, run, now));
   this->state.tenants.add(tenant, step.shape->need);
 }
 
--- a/src/decide/placer.h
+++ b/src/decide/placer.h
@@ -130,7 +130,6 @@
                const runner_state& runner);
   placement record(const waiting_step& step, std::int32_t index, std::int32_t run,
                    const runner_state& runner, instant now);
-  resources reserved(const step_spec& shape) const;
 
   cell_state& state;
   const placer_options options;
--- a/src/decide/run_time_book.cc
+++ b/src/decide/run_time_book.cc
@@ -40,4 +40,9 @@
   return it == this->by_queue.end() ? declared : millis{std::llround(it->second.mean_ms)};
 }
 
+bool run_time_book::learned(const queue_id& queue) const {
+  const auto it = this->by_queue.find(queue);
+  return it != this->by_queue.end() && it->second.count >= enough_samples;
+}
+
 }  // namespace monsoonmux::cell
--- a/src/decide/run_time_book.h
+++ b/src/decide/run_time_book.h
@@ -18,6 +18,8 @@
   double slowness(const std::string& runner) const;
   // Mean of the queue's tasks; `declared` while none has ended.
   millis expected(const queue_id& queue, millis declared) const;
+  // True if enough tasks of the queue have ended for their mean to be relied on.
+  bool learned(const queue_id& queue) const;
 
  private:
   struct seen_times {
--- a/src/decide/runner_book.cc
+++ b/src/decide/runner_book.cc
@@ -60,7 +60,7 @@
     std::int32_t others = 0;
     for (const auto& [key, run] : runner.residents) {
       // Work that fills is slow by design while others are busy.
-      if (run.expected.value <= 0 || run.fills) {
+      if (run.expected.value <= 0 || !run.expected_is_learned || run.fills) {
         continue;
       }
       const bool late = now - run.since > run.expected * this->options.overdue_factor;
--- a/src/decide/runner_book.h
+++ b/src/decide/runner_book.h
@@ -22,8 +22,11 @@
   resources counted;   // Counted against the tenant's limit.
   bool fills = false;
   bool serves = false;
-  instant since;       // When its start was decided.
+  instant since;       // When its start was decided, or when its present owner took over.
   millis expected{0};  // Usual duration; 0: it lasts.
+  // The usual duration was learned from runs that ended. A declared one is too far
+  // off to tell from it that a run stands still.
+  bool expected_is_learned = false;
 };
 
 // Identity of a run on a runner.
--- a/src/decide/testing/runner_book_test.cc
+++ b/src/decide/testing/runner_book_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "decide/run_time_book.h"
+#include "decide/testing/cell_builder.h"
 
 namespace monsoonmux::cell {
 namespace {
@@ -24,6 +25,7 @@
   out.run = 1;
   out.since = since;
   out.expected = expected;
+  out.expected_is_learned = true;
   return out;
 }
 
@@ -61,6 +63,34 @@
   CHECK(lasting.takes_work(now));
 }
 
+// What submitters declare is a tenth of the truth at times. A new owner that took it
+// for the usual time would leave most of its runners alone for as long as it knows
+// nothing better.
+TEST_CASE("A declared duration does not show that a runner stands still") {
+  cell_builder cell;
+  runner_state& runner = cell.add_runner("a", {millicores{8'000}, mebibytes{8'000}, devices{0}});
+  live_job& job = cell.add_job(
+      "j", cell_builder::step(3, {millicores{1'000}, mebibytes{100}, devices{0}}));
+  const step_ref step{job_id("j"), 0, 0};
+  for (std::int32_t i = 0; i < 3; ++i) {
+    cell.state.runners.add("a", resident_of(cell.state, job, {step, i}, 1, cell.now));
+  }
+  const instant later = cell.now + millis{10'000};
+  cell.state.runners.avoid_stalled(later);
+  CHECK(runner.takes_work(later));
+
+  // The same runs, once the usual time is known.
+  for (int i = 0; i < 20; ++i) {
+    cell.state.run_times.note(queue_id("q"), "other", millis{1'000});
+  }
+  for (std::int32_t i = 0; i < 3; ++i) {
+    cell.state.runners.remove("a", {{step, i}, 1});
+    cell.state.runners.add("a", resident_of(cell.state, job, {step, i}, 1, cell.now));
+  }
+  cell.state.runners.avoid_stalled(later);
+  CHECK_FALSE(runner.takes_work(later));
+}
+
 TEST_CASE("Slow runners are told from slow work") {
   run_time_book times;
   const queue_id quick("quick");
