A new owner inherits what the former one learned of run times

Cause: an owner learned run times from nothing after each takeover, and from runs that it had inherited: of those it saw only the end, so their time looked far too short. New runs then looked stalled, their runners got no work for seconds, and the order of steps rested on wrong durations. What is learned now goes into the log each second, with appends that are sent anyway; inherited runs teach nothing. Tests: A new owner does not take inherited runs for short ones; A new owner knows what the former one learned of run times (both seen red).

--- a/src/cell/cell_daemon.h
+++ b/src/cell/cell_daemon.h
@@ -58,6 +58,12 @@
 
   void start();
   job_desk& desk() { return this->front; }
+  // True if it gives the orders.
+  bool owns() const { return this->orders != nullptr && this->orders->active(); }
+  // What it knows of run times as the owner; null if it is not.
+  const run_time_book* run_times() const {
+    return this->owns() ? &this->orders->run_times() : nullptr;
+  }
   // True if callers are served well here.
   bool ready() const;
   void heard(const peer_message& message, const peer_address& from);
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -28,7 +28,7 @@
       planner(this->state, chosen.placement),
       writer(
           given.io, given.log, given.time, given.events, under,
-          [this](const job_id& job) { return this->progress_record(job); },
+          [this](const job_id& job) { return this->newest_record(job); },
           [this] { this->on_over("fenced in the log"); }),
       dispatcher(given.peers, given.advice, given.time, given.events, this->self,
                  [this](const step_ref& step, const std::vector<std::string>& asked, bool answered,
@@ -50,6 +50,9 @@
 void owner::take_over(const job_book& book, const cell_config& config) {
   this->state.config = config;
   this->is_active = true;
+  if (book.run_times()) {
+    this->state.run_times.restore(*book.run_times());
+  }
   for (const auto& [id, record] : book.jobs()) {
     this->adopt(record);
   }
@@ -235,6 +238,7 @@
   }
   live_job& job = it->second;
   const live_task* const task = job.find(run.task);
+  const bool inherited = task != nullptr && task->inherited;
   const instant placed_at = task != nullptr ? task->placed_at : instant{0};
   const end_effect effect = job.finish(run.task, run.run, how, checkpoint);
   if (!effect.counted) {
@@ -245,8 +249,10 @@
     this->state.runners.note_end(runner, how == run_end::failed, this->services.time.now());
   }
   if (how == run_end::done) {
-    this->state.run_times.note(job.submission().queue, runner,
-                               this->services.time.now() - placed_at);
+    if (!inherited) {
+      this->state.run_times.note(job.submission().queue, runner,
+                                 this->services.time.now() - placed_at);
+    }
   } else {
     this->services.events.write(
         "run_ended",
@@ -357,9 +363,23 @@
   }
   this->state.runners.avoid_stalled(this->services.time.now());
   this->report_load();
+  this->hand_down_run_times();
   this->request_plan();
 }
 
+// Puts what was learned of run times into the log, for a successor. It goes with
+// the next append of progress, so it costs no call of its own.
+void owner::hand_down_run_times() {
+  const instant now = this->services.time.now();
+  const std::int64_t version = this->state.run_times.version();
+  if (version == this->handed_down || now - this->handed_down_at < this->options.hand_down) {
+    return;
+  }
+  this->handed_down = version;
+  this->handed_down_at = now;
+  this->writer.write(run_times_id);
+}
+
 void owner::report_load() {
   const instant now = this->services.time.now();
   if (now - this->load_reported < this->options.load_report) {
@@ -487,7 +507,10 @@
   }
 }
 
-keyed_record owner::progress_record(const job_id& id) const {
+keyed_record owner::newest_record(const job_id& id) const {
+  if (id == run_times_id) {
+    return {key_of(record_kind::run_times, id), encode(this->state.run_times.snapshot(this->at))};
+  }
   const auto it = this->state.jobs.find(id);
   if (it == this->state.jobs.end()) {
     return {};
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -27,6 +27,7 @@
   // the log counts as away, and nothing is placed that only it could set going.
   millis writer_stall{700};
   millis load_report{1'000};  // Between two lines on how full the cell is.
+  millis hand_down{1'000};    // Between two records of the learned run times.
   millis stop_grace{900};
 };
 
@@ -62,6 +63,7 @@
   // The book holds all records up to the fence.
   void take_over(const job_book& book, const cell_config& config);
   bool active() const { return this->is_active; }
+  const run_time_book& run_times() const { return this->state.run_times; }
 
   void configure(const cell_config& config);
   void submitted(const job_record& record);
@@ -99,7 +101,9 @@
   void advised(const step_ref& step, const std::vector<std::string>& asked, bool answered,
                const std::vector<ticket>& tickets);
   runner_session& session_of(const std::string& runner);
-  keyed_record progress_record(const job_id& job) const;
+  // Of a job's progress, or of the run times.
+  keyed_record newest_record(const job_id& job) const;
+  void hand_down_run_times();
   std::int32_t attempts_of(const job_submission& submission) const;
 
   owner_services services;
@@ -118,6 +122,8 @@
   instant inherited_until;
   instant load_reported{0};
   instant waiting_reported{0};
+  std::int64_t handed_down = 0;  // Version of the run times in the log.
+  instant handed_down_at{0};
   std::int64_t waiting_tasks = 0;
   std::int64_t unanswered_wishes = 0;  // Of the last round: no daemon was free to ask.
   instant plan_ended{0};
--- a/src/cell/testing/cell_test.cc
+++ b/src/cell/testing/cell_test.cc
@@ -20,6 +20,17 @@
   }
 }
 
+// The present owner; -1 if there is none.
+int owner_of(const fake_cell& cell) {
+  for (std::size_t i = 0; i < cell.nodes.size(); ++i) {
+    const auto& node = cell.nodes[i];
+    if (node->daemon && node->daemon->owns()) {
+      return static_cast<int>(i);
+    }
+  }
+  return -1;
+}
+
 TEST_CASE("Jobs handed in at any daemon are completed once") {
   fake_cell cell(3, 4, 1);
   cell.loop.run_for(boot_time);
@@ -111,12 +122,7 @@
   cell.loop.run_for(boot_time);
   cell.submit(0, job_name(0), fake_cell::simple_job(2));
   cell.loop.run_for(millis{300});
-  int owner = -1;
-  for (std::size_t i = 0; i < cell.nodes.size(); ++i) {
-    if (cell.nodes[i]->metrics.text().find("owner_gained") != std::string::npos) {
-      owner = static_cast<int>(i);
-    }
-  }
+  const int owner = owner_of(cell);
   REQUIRE(owner >= 0);
   cell.nodes[static_cast<std::size_t>(owner)]->kill();
   cell.submit((owner + 1) % 3, job_name(1), fake_cell::simple_job(2));
@@ -129,6 +135,50 @@
   check_history(cell);
 }
 
+TEST_CASE("A new owner does not take inherited runs for short ones") {
+  // It sees only the last half second of the first job's tasks. If it took that for
+  // their usual time, the second job's runs would soon look stalled, and their
+  // runner would get no work.
+  fake_cell cell(3, 1, 9);
+  cell.runners[0]->entry.capacity = {millicores{16'000}, mebibytes{16'000}, devices{0}};
+  cell.loop.run_for(boot_time);
+  cell.runners[0]->task_time = millis{4'000};
+  cell.submit(0, job_name(0), fake_cell::simple_job(6));
+  cell.loop.run_for(millis{2'000});
+  const int former = owner_of(cell);
+  REQUIRE(former >= 0);
+  cell.nodes[static_cast<std::size_t>(former)]->kill();
+  cell.loop.run_for(millis{3'000});
+  REQUIRE(cell.phase(job_name(0)) == job_phase::completed);
+  cell.submit((former + 1) % 3, job_name(1), fake_cell::simple_job(4));
+  cell.loop.run_for(millis{3'000});
+  const std::int64_t before = cell.history.starts;
+  cell.submit((former + 1) % 3, job_name(2), fake_cell::simple_job(2));
+  cell.loop.run_for(millis{300});
+  CHECK(cell.history.starts == before + 2);
+}
+
+TEST_CASE("A new owner knows what the former one learned of run times") {
+  fake_cell cell(3, 2, 10);
+  cell.loop.run_for(boot_time);
+  for (auto& runner : cell.runners) {
+    runner->task_time = millis{2'000};
+  }
+  cell.submit(0, job_name(0), fake_cell::simple_job(8));
+  cell.loop.run_for(millis{4'000});
+  REQUIRE(cell.phase(job_name(0)) == job_phase::completed);
+  const int former = owner_of(cell);
+  REQUIRE(former >= 0);
+  cell.nodes[static_cast<std::size_t>(former)]->kill();
+  cell.loop.run_for(millis{3'000});
+  const int next = owner_of(cell);
+  REQUIRE(next >= 0);
+  const run_time_book* const times = cell.nodes[static_cast<std::size_t>(next)]->daemon->run_times();
+  REQUIRE(times != nullptr);
+  CHECK(times->learned(queue_id("q")));
+  CHECK(times->expected(queue_id("q"), millis{1}).value > 1'900);
+}
+
 TEST_CASE("While the log is away jobs are refused, and the refusal is true") {
   fake_cell cell(2, 2, 7);
   cell.loop.run_for(boot_time);
--- a/src/decide/job_book.cc
+++ b/src/decide/job_book.cc
@@ -58,6 +58,8 @@
       return this->apply_submission(key->job, record.value);
     case record_kind::progress:
       return this->apply_progress(key->job, record.value);
+    case record_kind::run_times:
+      return this->apply_run_times(record.value);
     case record_kind::cancellation:
       break;
   }
@@ -100,6 +102,18 @@
   return book_change::progressed;
 }
 
+book_change job_book::apply_run_times(const std::string& value) {
+  auto read = decode_learned_times(value);
+  if (!read) {
+    return book_change::unreadable;
+  }
+  if (this->times && read->owner_epoch < this->times->owner_epoch) {
+    return book_change::nothing;
+  }
+  this->times = std::move(read);
+  return book_change::learned;
+}
+
 const job_record* job_book::find(const job_id& job) const {
   const auto it = this->records.find(job);
   return it == this->records.end() ? nullptr : &it->second;
@@ -111,6 +125,7 @@
 }
 
 void job_book::clear() {
+  this->times.reset();
   this->records.clear();
   this->pending_by_queue.clear();
 }
--- a/src/decide/job_book.h
+++ b/src/decide/job_book.h
@@ -21,7 +21,7 @@
 };
 
 // What a record changed.
-enum class book_change { nothing, submitted, cancelled, progressed, unreadable };
+enum class book_change { nothing, submitted, cancelled, progressed, learned, unreadable };
 
 // All jobs of the cell, as a function of the log. Every daemon keeps one; it
 // answers callers from it, and an owner starts from it.
@@ -37,15 +37,19 @@
   const std::unordered_map<job_id, job_record>& jobs() const { return this->records; }
   // Accepted jobs of the queue of which no task has started; timed ones aside.
   std::int64_t pending(const queue_id& queue) const;
+  // What the newest owner learned of run times; nothing if no owner wrote it yet.
+  const std::optional<learned_times>& run_times() const { return this->times; }
   void clear();
 
  private:
+  book_change apply_run_times(const std::string& value);
   book_change apply_submission(const job_id& job, const std::string& value);
   book_change apply_progress(const job_id& job, const std::string& value);
   static void forget_details(job_record& entry);
   static bool counts_as_pending(const job_record& record);
   void recount(const job_record& record, bool counted_before);
 
+  std::optional<learned_times> times;
   std::unordered_map<job_id, job_record> records;
   std::unordered_map<queue_id, std::int64_t> pending_by_queue;
 };
--- a/src/decide/live_job.cc
+++ b/src/decide/live_job.cc
@@ -83,6 +83,7 @@
       task.runner_born = t.runner_born;
       task.checkpoint = t.checkpoint;
       task.placed_at = now;
+      task.inherited = t.phase == task_phase::placed;
       if (t.phase == task_phase::done) {
         ++occurrence.steps[step].done;
       }
@@ -144,6 +145,7 @@
   t.runner = runner;
   t.runner_born = runner_born;
   t.placed_at = now;
+  t.inherited = false;
   if (this->state == job_phase::queued) {
     this->state = job_phase::running;
   }
--- a/src/decide/run_time_book.cc
+++ b/src/decide/run_time_book.cc
@@ -20,7 +20,9 @@
 
 void run_time_book::note(const queue_id& queue, const std::string& runner, millis taken) {
   const auto value = static_cast<double>(taken.value);
-  seen_times& seen = this->by_queue[queue];
+  ++this->noted;
+  queue_times& seen = this->by_queue[queue];
+  seen.queue = queue;
   if (seen.count >= enough_samples && seen.mean_ms > 0) {
     const double ratio = std::clamp(value / seen.mean_ms, least_ratio, most_ratio);
     double& slowness = this->slowness_by_runner.try_emplace(runner, 1.0).first->second;
@@ -45,4 +47,27 @@
   return it != this->by_queue.end() && it->second.count >= enough_samples;
 }
 
+learned_times run_time_book::snapshot(epoch at) const {
+  learned_times out;
+  out.owner_epoch = at;
+  for (const auto& [queue, seen] : this->by_queue) {
+    out.queues.push_back(seen);
+  }
+  for (const auto& [runner, slowness] : this->slowness_by_runner) {
+    out.runners.push_back({runner, slowness});
+  }
+  return out;
+}
+
+void run_time_book::restore(const learned_times& from) {
+  this->by_queue.clear();
+  this->slowness_by_runner.clear();
+  for (const queue_times& seen : from.queues) {
+    this->by_queue.emplace(seen.queue, seen);
+  }
+  for (const runner_pace& pace : from.runners) {
+    this->slowness_by_runner.emplace(pace.runner, pace.slowness);
+  }
+}
+
 }  // namespace monsoonmux::cell
--- a/src/decide/run_time_book.h
+++ b/src/decide/run_time_book.h
@@ -5,6 +5,7 @@
 
 #include "base/ids.h"
 #include "base/quantity.h"
+#include "model/cell_record.h"
 
 namespace monsoonmux::cell {
 
@@ -21,12 +22,15 @@
   // True if enough tasks of the queue have ended for their mean to be relied on.
   bool learned(const queue_id& queue) const;
 
+  // All of it, for a successor; and back. What is restored replaces what is there.
+  learned_times snapshot(epoch at) const;
+  void restore(const learned_times& from);
+  // Changes with every run that is noted.
+  std::int64_t version() const { return this->noted; }
+
  private:
-  struct seen_times {
-    double mean_ms = 0;
-    std::int64_t count = 0;
-  };
-  std::unordered_map<queue_id, seen_times> by_queue;
+  std::unordered_map<queue_id, queue_times> by_queue;
+  std::int64_t noted = 0;
   std::unordered_map<std::string, double> slowness_by_runner;
 };
 
--- a/src/model/cell_record.cc
+++ b/src/model/cell_record.cc
@@ -65,7 +65,7 @@
   }
   const auto kind = static_cast<record_kind>(key.front());
   if (kind != record_kind::submission && kind != record_kind::cancellation &&
-      kind != record_kind::progress) {
+      kind != record_kind::progress && kind != record_kind::run_times) {
     return std::nullopt;
   }
   return parsed_key{kind, job_id(std::string(key.substr(1)))};
@@ -77,6 +77,9 @@
 std::string encode(const job_progress& value) {
   return encode_record(value);
 }
+std::string encode(const learned_times& value) {
+  return encode_record(value);
+}
 std::string encode(const owner_claim& value) {
   return encode_record(value);
 }
@@ -87,6 +90,9 @@
 std::optional<job_progress> decode_progress(const std::string& bytes) {
   return decode_record<job_progress>(bytes);
 }
+std::optional<learned_times> decode_learned_times(const std::string& bytes) {
+  return decode_record<learned_times>(bytes);
+}
 std::optional<owner_claim> decode_claim(const std::string& bytes) {
   return decode_record<owner_claim>(bytes);
 }
--- a/src/model/cell_record.h
+++ b/src/model/cell_record.h
@@ -89,6 +89,41 @@
   }
 };
 
+// How long the tasks of one queue took.
+struct queue_times {
+  queue_id queue;
+  double mean_ms = 0;
+  std::int64_t count = 0;  // Of the tasks that the mean is made from.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->queue, this->mean_ms, this->count);
+  }
+};
+
+// Time of one runner's tasks over what is usual for their queues.
+struct runner_pace {
+  std::string runner;
+  double slowness = 1;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->runner, this->slowness);
+  }
+};
+
+// What an owner has learned of run times, for its successor.
+struct learned_times {
+  epoch owner_epoch;
+  std::vector<queue_times> queues;
+  std::vector<runner_pace> runners;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->owner_epoch, this->queues, this->runners);
+  }
+};
+
 // Who gives orders, from which epoch on, and where it listens for its peers.
 struct owner_claim {
   epoch owner_epoch;
@@ -105,7 +140,12 @@
   }
 };
 
-enum class record_kind : char { submission = 'j', cancellation = 'c', progress = 's' };
+enum class record_kind : char {
+  submission = 'j',
+  cancellation = 'c',
+  progress = 's',
+  run_times = 't',  // One record for the whole cell, under run_times_id.
+};
 
 // A record as the log keeps it.
 struct keyed_record {
@@ -113,6 +153,10 @@
   std::string value;
 };
 
+// Stands in the place of a job in the key of the run times' record. No caller can
+// choose it: its sign is not allowed in the id of a job.
+inline const job_id run_times_id{"-"};
+
 std::string key_of(record_kind kind, const job_id& job);
 // The kind and job that a key names; nothing if it is not one of ours.
 struct parsed_key {
@@ -123,10 +167,12 @@
 
 std::string encode(const job_submission& value);
 std::string encode(const job_progress& value);
+std::string encode(const learned_times& value);
 std::string encode(const owner_claim& value);
 // Nothing if the bytes are not such a record of this version.
 std::optional<job_submission> decode_submission(const std::string& bytes);
 std::optional<job_progress> decode_progress(const std::string& bytes);
+std::optional<learned_times> decode_learned_times(const std::string& bytes);
 std::optional<owner_claim> decode_claim(const std::string& bytes);
 
 }  // namespace monsoonmux::cell
