Large tasks claim runners, resumable runs give way to them, late work yields further

Now a step of large tasks claims runners as a gang does; runs that checkpoint, of a less urgent queue, whose job can wait 8 s and still be in time, are stopped if the claimant can start then; late work yields two levels. Ruled out: slack of 1 to 5 s for what gives way, and 4 or 6 claiming steps: in played overload the less urgent queue lost more than was gained. Tests (played loads, each red without its part): Late work of an urgent queue ...; Large tasks need not wait ...; Gangs need not wait ...

--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -94,8 +94,8 @@
   }
   const step_spec& shape = job.spec().steps[static_cast<std::size_t>(task.in.step)];
   const team_id& tenant = job.submission().tenant;
-  this->state.runners.add(
-      t.runner, resident_of(this->state, job, task, t.run, this->services.time.now()));
+  this->state.runners.add(t.runner,
+                          resident_of(this->state, job, task, t.run, this->services.time.now()));
   this->state.tenants.add(tenant, shape.need);
   this->session_of(t.runner).recover({task, t.run});
 }
@@ -471,6 +471,7 @@
                                            {"waiting_tasks", decided.waiting_tasks}});
     this->writer.write(job, [this, starts = std::move(starts)] { this->send_starts(starts); });
   }
+  this->preempt(decided.preemptions);
   this->waiting_tasks = decided.waiting_tasks;
   this->report_waiting(decided.reasons);
   this->unanswered_wishes = 0;
@@ -484,6 +485,17 @@
   this->services.metrics.gauge("open_jobs", static_cast<std::int64_t>(this->state.jobs.size()));
 }
 
+void owner::preempt(const std::vector<preemption>& runs) {
+  for (const preemption& p : runs) {
+    this->services.events.write("preempted", {{"task", p.run.task.text()},
+                                              {"run", p.run.run},
+                                              {"runner", p.runner},
+                                              {"in_favour_of", p.in_favour_of.text()}});
+    this->services.metrics.count("runs_preempted");
+    this->session_of(p.runner).stop(p.run);
+  }
+}
+
 void owner::send_starts(const std::vector<placement>& starts) {
   const instant now = this->services.time.now();
   for (const placement& p : starts) {
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -88,6 +88,7 @@
   void report_waiting(const std::vector<waiting_reason>& reasons);
   void request_plan();
   void make_plan();
+  void preempt(const std::vector<preemption>& runs);
   void send_starts(const std::vector<placement>& starts);
   void adopt(const job_record& record);
   void adopt_run(live_job& job, const task_ref& task, const live_task& t);
--- a/src/cell/testing/cell_test.cc
+++ b/src/cell/testing/cell_test.cc
@@ -173,7 +173,8 @@
   cell.loop.run_for(millis{3'000});
   const int next = owner_of(cell);
   REQUIRE(next >= 0);
-  const run_time_book* const times = cell.nodes[static_cast<std::size_t>(next)]->daemon->run_times();
+  const run_time_book* const times =
+      cell.nodes[static_cast<std::size_t>(next)]->daemon->run_times();
   REQUIRE(times != nullptr);
   CHECK(times->learned(queue_id("q")));
   CHECK(times->expected(queue_id("q"), millis{1}).value > 1'900);
--- a/src/decide/cell_state.cc
+++ b/src/decide/cell_state.cc
@@ -23,6 +23,9 @@
   out.fills = shape.fills;
   out.serves = shape.serves();
   out.since = since;
+  const queue_config* const terms = state.config.find_queue(queue);
+  out.priority = terms != nullptr ? terms->priority : 0;
+  out.resumable = shape.checkpoints && !shape.gang && !shape.long_running;
   if (!shape.long_running) {
     out.expected = state.run_times.expected(queue, shape.estimate);
     out.expected_is_learned = state.run_times.learned(queue);
--- a/src/decide/live_job.h
+++ b/src/decide/live_job.h
@@ -24,7 +24,7 @@
   std::int64_t runner_born = 0;
   std::string checkpoint;
   std::string last_failed_on;  // Runner of its latest failed run.
-  instant placed_at;  // Or when the present owner took it over.
+  instant placed_at;           // Or when the present owner took it over.
   // Placed by a former owner; nobody knows how long it has been running.
   bool inherited = false;
 };
--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -25,6 +25,11 @@
   return capacity > 0 ? static_cast<double>(room) / static_cast<double>(capacity) : 0;
 }
 
+resources largest_of(const resources& a, const resources& b) {
+  return {std::max(a.cpu, b.cpu), std::max(a.memory, b.memory),
+          std::max(a.accelerators, b.accelerators)};
+}
+
 }  // namespace
 
 placer::placer(cell_state& cell, const placer_options& given) : state(cell), options(given) {}
@@ -35,7 +40,9 @@
   this->claims_before.swap(this->claims_now);
   this->claims_now.clear();
   for (auto& [id, runner] : this->state.runners.all()) {
-    this->services[runner.entry.service.text].runners.push_back(&runner);
+    service_round& round = this->services[runner.entry.service.text];
+    round.runners.push_back(&runner);
+    round.largest = largest_of(round.largest, runner.entry.capacity);
   }
   plan out;
   for (waiting_step& step : this->collect(now, wall_ms)) {
@@ -136,8 +143,9 @@
     }
   } else if (this->place_gang(step, now, out)) {
     return;
-  } else {
-    this->claim_runners(step, now);
+  }
+  if (this->claims(step)) {
+    this->claim_runners(step, now, out);
   }
   if (round.blocked < this->options.explained_steps) {
     out.reasons.push_back(this->explain(step, now));
@@ -146,22 +154,25 @@
   this->wish_for_advice(step, now, out);
 }
 
-bool placer::place_tasks(const waiting_step& step, instant now, plan& out) {
+bool placer::place_tasks(waiting_step& step, instant now, plan& out) {
   live_occurrence& occurrence = step.job->occurrences().at(step.ref.occurrence);
   live_step& tasks = occurrence.steps[static_cast<std::size_t>(step.ref.step)];
-  for (const std::int32_t index : step.tasks) {
+  const std::vector<std::int32_t> wanted = std::move(step.tasks);
+  step.tasks.clear();
+  for (auto index = wanted.begin(); index != wanted.end(); ++index) {
     if (!this->state.tenants.fits(this->state.config, step.job->submission().tenant,
                                   step.shape->need)) {
       return true;
     }
     const choice best =
-        this->best_runner(step, tasks.tasks[static_cast<std::size_t>(index)], now, {});
+        this->best_runner(step, tasks.tasks[static_cast<std::size_t>(*index)], now, {});
     if (best.runner == nullptr) {
+      step.tasks.assign(index, wanted.end());
       return false;
     }
-    const std::int32_t run = step.job->next_run({step.ref, index});
-    this->reserve(step, index, run, *best.runner, now);
-    out.placements.push_back(this->record(step, index, run, *best.runner, now));
+    const std::int32_t run = step.job->next_run({step.ref, *index});
+    this->reserve(step, *index, run, *best.runner, now);
+    out.placements.push_back(this->record(step, *index, run, *best.runner, now));
   }
   return true;
 }
@@ -220,69 +231,157 @@
   return fits;
 }
 
-instant placer::free_at(const runner_state& runner, instant now) {
-  instant out = now;
+bool placer::gives_way(const resident_run& run, const waiting_step& step) const {
+  return run.resumable && step.order.priority < run.priority &&
+         run.slack >= this->options.preempted_wait;
+}
+
+instant placer::fits_at(const runner_state& runner, const resources& need, const waiting_step& step,
+                        instant now) const {
+  resources room = runner.room();
+  if (need.fits(room)) {
+    return now;
+  }
+  std::vector<std::pair<instant, resources>> ends;
   for (const auto& [key, run] : runner.residents) {
-    out = std::max(out, run.since + run.expected);
+    const bool soon = run.stopping || gives_way(run, step);
+    const instant usual = run.expected.value > 0 ? run.since + run.expected : never;
+    ends.emplace_back(soon ? now + this->options.stop_time : std::max(now, usual), run.reserved);
+  }
+  std::sort(ends.begin(), ends.end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  for (const auto& [end, freed] : ends) {
+    room += freed;
+    if (need.fits(room)) {
+      return end;
+    }
   }
-  return out;
+  return never;
+}
+
+// Of the candidates as many as the step's tasks need, those with the earliest room
+// first. Of a gang that needs more than all of them, none.
+std::vector<placer::share> placer::first_shares(std::vector<share> candidates,
+                                                const waiting_step& step) const {
+  std::size_t members = step.tasks.size();
+  const auto before = this->claims_before.find(step.ref);
+  const auto was_claimed = [&](const share& part) {
+    return before != this->claims_before.end() &&
+           std::find(before->second.begin(), before->second.end(), part.runner->entry.id) !=
+               before->second.end();
+  };
+  std::erase_if(candidates, [](const share& part) { return part.fits_at == never; });
+  std::stable_sort(candidates.begin(), candidates.end(), [&](const share& a, const share& b) {
+    return std::tuple(!was_claimed(a), a.fits_at, b.runner->room().accelerators) <
+           std::tuple(!was_claimed(b), b.fits_at, a.runner->room().accelerators);
+  });
+  const resources each = reserved_room(*step.shape);
+  std::vector<share> chosen;
+  for (const share& part : candidates) {
+    if (members == 0) {
+      break;
+    }
+    std::size_t held = 0;
+    for (resources taken = each; taken.fits(part.need) && held < members; taken += each) {
+      ++held;
+    }
+    held = std::min(held, members);
+    members -= held;
+    chosen.push_back(part);
+  }
+  return members == 0 || !step.shape->gang ? chosen : std::vector<share>();
 }
 
-std::vector<runner_state*> placer::runners_to_claim(const waiting_step& step, instant now) {
+std::vector<placer::share> placer::shares_to_claim(const waiting_step& step, instant now) {
   std::vector<runner_state*> usable;
   for (runner_state* runner : this->services[step.service.text].runners) {
     const bool good = step.advice == nullptr || step.advice->known_good(runner->entry.id);
-    if (good && runner->listed && !runner->entry.draining &&
+    if (good && runner->listed && !runner->entry.draining && this->permitted(step, *runner) &&
         !this->claimed.contains(runner->entry.id)) {
       usable.push_back(runner);
     }
   }
-  const auto before = this->claims_before.find(step.ref);
-  const auto was_claimed = [&](const runner_state* runner) {
-    return before != this->claims_before.end() &&
-           std::find(before->second.begin(), before->second.end(), runner->entry.id) !=
-               before->second.end();
-  };
-  std::sort(usable.begin(), usable.end(), [&](const runner_state* a, const runner_state* b) {
-    return std::tuple(!was_claimed(a), free_at(*a, now), b->room().accelerators) <
-           std::tuple(!was_claimed(b), free_at(*b, now), a->room().accelerators);
-  });
-  std::size_t missing = step.tasks.size();
-  std::vector<runner_state*> chosen;
+  // One member a runner first: that is free soonest. Whole runners if that is not
+  // enough of them.
+  const resources each = reserved_room(*step.shape);
+  std::vector<share> single;
+  std::vector<share> whole;
   for (runner_state* runner : usable) {
-    const std::size_t fits = std::min(missing, this->members_that_fit(step, *runner));
-    if (fits > 0) {
-      chosen.push_back(runner);
-      missing -= fits;
+    single.push_back({runner, each, this->fits_at(*runner, each, step, now)});
+    const auto most = static_cast<std::int64_t>(this->members_that_fit(step, *runner));
+    if (most > 0) {
+      whole.push_back({runner, each * most, this->fits_at(*runner, each * most, step, now)});
+    }
+  }
+  std::vector<share> chosen = this->first_shares(std::move(single), step);
+  return chosen.empty() ? this->first_shares(std::move(whole), step) : chosen;
+}
+
+// Stops runs that give way until the share fits. Those that have longest to go come
+// first: the others will be over soon anyway.
+void placer::preempt(const share& part, const waiting_step& step, instant now, plan& out) {
+  resources room = part.runner->room();
+  std::vector<std::pair<const run_key, resident_run>*> victims;
+  for (auto& entry : part.runner->residents) {
+    const resident_run& run = entry.second;
+    const bool over_soon =
+        run.expected.value > 0 && run.since + run.expected <= now + this->options.stop_time;
+    if (run.stopping || over_soon) {
+      room += run.reserved;
+    } else if (gives_way(run, step)) {
+      victims.push_back(&entry);
     }
-    if (missing == 0) {
-      return chosen;
+  }
+  std::sort(victims.begin(), victims.end(), [](const auto* a, const auto* b) {
+    return a->second.since + a->second.expected > b->second.since + b->second.expected;
+  });
+  for (auto* victim : victims) {
+    if (part.need.fits(room)) {
+      return;
     }
+    room += victim->second.reserved;
+    victim->second.stopping = true;
+    out.preemptions.push_back({part.runner->entry.id, victim->first, step.ref});
   }
-  return {};
 }
 
-// Keeps the runners that will be free for the gang first from filling up again. A
-// gang that would not fit on all of its runners even when they are empty claims
-// none: it would hold them idle for nothing.
-void placer::claim_runners(const waiting_step& step, instant now) {
-  service_round& round = this->services[step.service.text];
-  if (round.claims >= this->options.claiming_gangs) {
-    return;
+bool placer::claims(const waiting_step& step) {
+  const service_round& round = this->services[step.service.text];
+  if (round.claims >= this->options.claiming_steps) {
+    return false;
   }
-  const std::vector<runner_state*> chosen = this->runners_to_claim(step, now);
+  return step.shape->gang ||
+         dominant_share(step.shape->need, round.largest) >= this->options.large_part;
+}
+
+// Keeps the runners that will have room first from filling up again, and has
+// resumable runs of less urgent queues stop if the step can start at once then. A
+// gang that would not fit on all of its runners even when they are empty claims
+// none: it would hold them idle for nothing. Its members wait for each other; other
+// tasks start one by one.
+void placer::claim_runners(const waiting_step& step, instant now, plan& out) {
+  const std::vector<share> chosen = this->shares_to_claim(step, now);
   if (chosen.empty()) {
     return;
   }
   instant all_free = now;
-  for (const runner_state* runner : chosen) {
-    all_free = std::max(all_free, free_at(*runner, now));
+  for (const share& part : chosen) {
+    all_free = std::max(all_free, part.fits_at);
   }
-  for (const runner_state* runner : chosen) {
-    this->claimed.emplace(runner->entry.id, claim{step.ref, all_free});
-    this->claims_now[step.ref].push_back(runner->entry.id);
+  for (const share& part : chosen) {
+    this->claim(part, step, step.shape->gang ? all_free : part.fits_at, now, out);
+  }
+  ++this->services[step.service.text].claims;
+}
+
+void placer::claim(const share& part, const waiting_step& step, instant free_at, instant now,
+                   plan& out) {
+  const std::string& id = part.runner->entry.id;
+  this->claimed.emplace(id, held_runner{step.ref, step.order.priority, free_at});
+  this->claims_now[step.ref].push_back(id);
+  if (free_at <= now + this->options.preempt_within) {
+    this->preempt(part, step, now, out);
   }
-  ++round.claims;
 }
 
 // Work that is over before the claimant could start anyway takes nothing from it.
@@ -292,8 +391,15 @@
   if (it == this->claimed.end() || it->second.by == step.ref) {
     return false;
   }
+  const held_runner& held = it->second;
+  const bool would_give_way = step.shape->checkpoints && !step.shape->gang &&
+                              !step.shape->long_running && held.priority < step.order.priority &&
+                              step.order.slack >= this->options.preempted_wait;
+  if (would_give_way && now + this->options.preempt_within < held.free_at) {
+    return false;  // It stops again when the claimant has its other runners.
+  }
   const millis usual = this->expected_time(step);
-  return usual.value <= 0 || now + usual > it->second.free_at;
+  return usual.value <= 0 || now + usual > held.free_at;
 }
 
 waiting_reason placer::explain(const waiting_step& step, instant now) {
@@ -391,8 +497,9 @@
 void placer::reserve(const waiting_step& step, std::int32_t index, std::int32_t run,
                      const runner_state& runner, instant now) {
   const team_id& tenant = step.job->submission().tenant;
-  this->state.runners.add(runner.entry.id,
-                          resident_of(this->state, *step.job, {step.ref, index}, run, now));
+  resident_run resident = resident_of(this->state, *step.job, {step.ref, index}, run, now);
+  resident.slack = step.order.slack;
+  this->state.runners.add(runner.entry.id, resident);
   this->state.tenants.add(tenant, step.shape->need);
 }
 
--- a/src/decide/placer.h
+++ b/src/decide/placer.h
@@ -20,6 +20,13 @@
   std::string checkpoint;
 };
 
+// A run that is to stop, since more urgent work can have its room at once.
+struct preemption {
+  std::string runner;
+  run_key run;
+  step_ref in_favour_of;
+};
+
 // Runners that a step wants the advice service to be asked about.
 struct advice_wish {
   step_ref step;
@@ -43,6 +50,7 @@
 
 struct plan {
   std::vector<placement> placements;
+  std::vector<preemption> preemptions;
   std::vector<advice_wish> wishes;
   std::int64_t waiting_tasks = 0;
   std::vector<waiting_reason> reasons;  // Of the first blocked steps of each service.
@@ -61,8 +69,17 @@
   // After so many steps of one service that found no runner, a round leaves the
   // less urgent ones alone; bounds what a round costs in an overloaded cell.
   std::size_t blocked_steps = 64;
-  // Gangs of one service that hold runners back for themselves.
-  std::size_t claiming_gangs = 2;
+  // Gangs and steps of large tasks, of one service, that hold runners back.
+  std::size_t claiming_steps = 2;
+  // A task is large if it needs this part of its service's largest runner: it would
+  // wait for ever beside a stream of small ones that take whatever gets free.
+  double large_part = 0.25;
+  // From the order to stop a run until its room is free, usually.
+  millis stop_time{400};
+  // A run that was stopped for a gang waits up to this long for its next start.
+  millis preempted_wait{8'000};
+  // Runs are stopped for a gang only if it can start this soon after.
+  millis preempt_within{600};
   // A step whose tickets are wanted is asked about this long before it is ready.
   millis ask_ahead{700};
   // Time for a start to reach its runner while its ticket is still valid.
@@ -100,18 +117,37 @@
     double score = 0;
   };
 
+  // Room for some of the step's tasks on one runner.
+  struct share {
+    runner_state* runner = nullptr;
+    resources need;
+    instant fits_at;  // When the runner is expected to have it.
+  };
+
   std::vector<waiting_step> collect(instant now, std::int64_t wall_ms);
   bool soon_ready(const live_job& job, const live_occurrence& occurrence, std::int32_t step,
                   instant now) const;
   void place_step(waiting_step& step, instant now, plan& out);
   // True if the step only waits for room or tickets, not for its tenant's limit.
-  bool place_tasks(const waiting_step& step, instant now, plan& out);
+  // Takes the tasks that it places out of the step.
+  bool place_tasks(waiting_step& step, instant now, plan& out);
   bool place_gang(const waiting_step& step, instant now, plan& out);
-  void claim_runners(const waiting_step& step, instant now);
-  // The runners that the gang claimed in the last round, if they still serve;
-  // otherwise those that will be free for it first. Empty if it fits on none.
-  std::vector<runner_state*> runners_to_claim(const waiting_step& step, instant now);
-  static instant free_at(const runner_state& runner, instant now);
+  bool claims(const waiting_step& step);
+  void claim_runners(const waiting_step& step, instant now, plan& out);
+  void claim(const share& part, const waiting_step& step, instant free_at, instant now, plan& out);
+  // The runners that the step claimed in the last round, if they still serve;
+  // otherwise those that will have room for it first. For a gang all that it needs,
+  // or none.
+  std::vector<share> shares_to_claim(const waiting_step& step, instant now);
+  std::vector<share> first_shares(std::vector<share> candidates, const waiting_step& step) const;
+  // True if the run may be stopped in favour of the step: it loses nothing by it, and
+  // its job can still be in time.
+  bool gives_way(const resident_run& run, const waiting_step& step) const;
+  // When the runner will have `need` free, runs that give way stopped; never if the
+  // runner is too small.
+  instant fits_at(const runner_state& runner, const resources& need, const waiting_step& step,
+                  instant now) const;
+  void preempt(const share& part, const waiting_step& step, instant now, plan& out);
   std::size_t members_that_fit(const waiting_step& step, const runner_state& runner) const;
   bool yields_to_claim(const waiting_step& step, const runner_state& runner, instant now) const;
   void wish_for_advice(const waiting_step& step, instant now, plan& out);
@@ -140,13 +176,15 @@
     double advice_ms = 0;  // Work of the questions for the steps seen so far.
     std::size_t claims = 0;
     std::size_t blocked = 0;
+    resources largest;  // Componentwise, of its runners' capacities.
   };
   std::unordered_map<std::string, service_round> services;
-  struct claim {
+  struct held_runner {
     step_ref by;
-    instant free_at;  // When the claimant can expect all of its runners.
+    std::int32_t priority = 0;
+    instant free_at;  // When the claimant can expect to start there.
   };
-  std::unordered_map<std::string, claim> claimed;
+  std::unordered_map<std::string, held_runner> claimed;
   // Runners that gangs claimed in the last round. A claim that moved from runner to
   // runner would never see any of them empty.
   std::map<step_ref, std::vector<std::string>> claims_before;
--- a/src/decide/runner_book.h
+++ b/src/decide/runner_book.h
@@ -27,6 +27,10 @@
   // The usual duration was learned from runs that ended. A declared one is too far
   // off to tell from it that a run stands still.
   bool expected_is_learned = false;
+  std::int32_t priority = 0;  // Of its queue; 0 comes first.
+  bool resumable = false;     // A stop loses nothing: its progress is saved at the stop.
+  millis slack{0};            // It may wait so long in all and still be in time.
+  bool stopping = false;      // It was told to stop in favour of more urgent work.
 };
 
 // Identity of a run on a runner.
--- a/src/decide/testing/cell_builder.h
+++ b/src/decide/testing/cell_builder.h
@@ -45,10 +45,21 @@
     return out;
   }
 
-  live_job& add_job(const std::string& id, job_spec spec, const std::string& tenant = "t") {
+  // Another queue of the same service.
+  queue_config& add_queue(const std::string& name, std::int32_t priority, double stretch) {
+    queue_config queue = this->queue();
+    queue.name = queue_id(name);
+    queue.priority = priority;
+    queue.stretch = stretch;
+    this->state.config.queues.push_back(queue);
+    return this->state.config.queues.back();
+  }
+
+  live_job& add_job(const std::string& id, job_spec spec, const std::string& tenant = "t",
+                    const std::string& queue = "q") {
     job_submission submission;
     submission.job = job_id(id);
-    submission.queue = queue_id("q");
+    submission.queue = queue_id(queue);
     submission.service = pool_id("s");
     submission.tenant = team_id(tenant);
     submission.accepted_ms = this->now.value;
--- /dev/null
+++ b/src/decide/testing/load_player.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "decide/placer.h"
+#include "decide/testing/cell_builder.h"
+
+namespace monsoonmux::cell {
+
+// One job of a played load.
+struct played_job {
+  std::string id;
+  std::string queue;
+  millis at;        // Since the start of the load.
+  millis run_time;  // Of each of its tasks, wherever it runs.
+  job_spec spec;
+  // Runners that the advice service permits; empty: the queue needs no advice.
+  std::vector<std::string> permitted;
+};
+
+// How a queue's jobs fared.
+struct played_result {
+  int jobs = 0;
+  int in_time = 0;  // Completed within their objective.
+  int over = 0;     // Completed at all.
+
+  double in_time_share() const {
+    return this->jobs > 0 ? static_cast<double>(this->in_time) / this->jobs : 1;
+  }
+};
+
+// Plays a load against the placer on a clock of its own: jobs arrive, what is placed
+// runs for its time, what is stopped keeps its progress if its step checkpoints.
+class load_player {
+ public:
+  explicit load_player(cell_builder& given, const placer_options& options = {})
+      : cell(given), planner(given.state, options), began(given.now) {}
+
+  // Plays `load` (in order of arrival) for `length`.
+  std::map<std::string, played_result> play(const std::vector<played_job>& load, millis length) {
+    std::size_t next = 0;
+    while (this->cell.now - this->began < length) {
+      for (; next < load.size() && this->began + load[next].at <= this->cell.now; ++next) {
+        this->arrive(load[next]);
+      }
+      this->end_runs();
+      this->plan_round();
+      this->cell.now = this->cell.now + tick;
+    }
+    return this->results;
+  }
+  // Accelerators in use, in thousandths of a second times accelerators.
+  std::int64_t accelerator_ms() const { return this->used_accelerator_ms; }
+
+ private:
+  static constexpr millis tick{10};
+  static constexpr millis stop_time{400};
+
+  struct live_run {
+    placement start;
+    instant ends;
+    instant began;
+    bool stopping = false;
+  };
+  struct job_state {
+    const played_job* job = nullptr;
+    std::map<task_ref, millis> progress;
+  };
+
+  void arrive(const played_job& job) {
+    this->cell.add_job(job.id, job.spec, "t", job.queue);
+    this->jobs[job.id] = {&job, {}};
+    if (!job.permitted.empty()) {
+      this->permit(job);
+    }
+    ++this->results[job.queue].jobs;
+  }
+
+  // As if the service had been asked about all runners at once, for good.
+  void permit(const played_job& job) {
+    std::vector<std::string> asked;
+    for (const auto& [id, runner] : this->cell.state.runners.all()) {
+      asked.push_back(id);
+    }
+    std::vector<ticket> tickets;
+    for (const std::string& runner : job.permitted) {
+      tickets.push_back({runner, "ticket"});
+    }
+    for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
+      this->cell.state.advice.answer({job_id(job.id), 0, static_cast<std::int32_t>(s)}, asked,
+                                     tickets, never);
+    }
+  }
+
+  void plan_round() {
+    const plan decided = this->planner.decide(this->cell.now, this->cell.now.value);
+    for (const preemption& p : decided.preemptions) {
+      for (live_run& run : this->runs) {
+        if (run.start.task == p.run.task && run.start.run == p.run.run && !run.stopping) {
+          run.stopping = run.ends > this->cell.now + stop_time;
+          run.ends = std::min(run.ends, this->cell.now + stop_time);
+        }
+      }
+    }
+    for (const placement& p : decided.placements) {
+      job_state& state = this->jobs.at(p.task.in.job.text);
+      const millis left = state.job->run_time - state.progress[p.task];
+      this->runs.push_back({p, this->cell.now + left, this->cell.now});
+    }
+  }
+
+  void end_runs() {
+    for (const live_run& run : this->runs) {
+      const live_job& job = this->cell.state.jobs.at(run.start.task.in.job);
+      const auto step = static_cast<std::size_t>(run.start.task.in.step);
+      this->used_accelerator_ms += job.spec().steps[step].need.accelerators.value * tick.value;
+    }
+    std::vector<live_run> left;
+    std::vector<live_run> over;
+    for (const live_run& run : this->runs) {
+      (run.ends <= this->cell.now ? over : left).push_back(run);
+    }
+    this->runs = std::move(left);
+    for (const live_run& run : over) {
+      this->end(run);
+    }
+  }
+
+  void end(const live_run& run) {
+    const task_ref& task = run.start.task;
+    live_job& job = this->cell.state.jobs.at(task.in.job);
+    const step_spec& shape = job.spec().steps[static_cast<std::size_t>(task.in.step)];
+    this->cell.state.runners.remove(run.start.runner, {task, run.start.run});
+    this->cell.state.tenants.remove(job.submission().tenant, shape.need);
+    if (run.stopping && shape.checkpoints) {
+      this->jobs.at(task.in.job.text).progress[task] += run.ends - run.began;
+    }
+    if (!run.stopping) {
+      this->cell.state.run_times.note(job.submission().queue, run.start.runner,
+                                      this->cell.now - run.began);
+    }
+    const end_effect effect =
+        job.finish(task, run.start.run, run.stopping ? run_end::stopped : run_end::done, {});
+    if (effect.job_final) {
+      this->close(job);
+    }
+  }
+
+  void close(const live_job& job) {
+    const queue_config& queue = *this->cell.state.config.find_queue(job.submission().queue);
+    const played_job& played = *this->jobs.at(job.submission().job.text).job;
+    const auto steps = static_cast<double>(played.spec.steps.size());
+    const double objective = queue.stretch * steps * static_cast<double>(played.run_time.value) +
+                             static_cast<double>(queue.target_latency.value);
+    const auto taken = static_cast<double>((this->cell.now - this->began - played.at).value);
+    played_result& result = this->results[played.queue];
+    ++result.over;
+    result.in_time += taken <= objective ? 1 : 0;
+  }
+
+  cell_builder& cell;
+  placer planner;
+  const instant began;
+  std::map<std::string, job_state> jobs;
+  std::vector<live_run> runs;
+  std::map<std::string, played_result> results;
+  std::int64_t used_accelerator_ms = 0;
+};
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/decide/testing/overload_test.cc
@@ -0,0 +1,128 @@
+// Plays loads that are too much for their runners, and checks what callers get.
+
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "decide/testing/load_player.h"
+
+namespace monsoonmux::cell {
+namespace {
+
+constexpr resources inspection_runner{millicores{64'000}, mebibytes{131'072}, devices{8}};
+constexpr resources check_need{millicores{5'600}, mebibytes{11'264}, devices{1}};
+constexpr millis load_length{60'000};
+constexpr int runner_count = 13;
+
+std::string runner_name(int index) {
+  return "i-" + std::to_string(10 + index);
+}
+
+// Tasks that take a quarter to all of a runner's accelerators, as gangs or each for
+// itself, between steps of a few tasks with one each, as inspection sheds send them.
+// `load_factor` 1 needs nearly all of 13 runners; between 10 s and 16 s `crowd` times
+// as many jobs come.
+std::vector<played_job> inspection_load(double load_factor, double crowd, bool gangs,
+                                        std::uint32_t seed) {
+  std::mt19937 random(seed);
+  std::exponential_distribution<double> gap(3.74 * load_factor / 1'000);
+  std::uniform_real_distribution<double> spread(0.4, 1.6);
+  std::vector<played_job> out;
+  double at = 0;
+  for (int i = 0;; ++i) {
+    const bool crowded = at > 10'000 && at < 16'000;
+    at += gap(random) / (crowded ? crowd : 1);
+    if (at > static_cast<double>(load_length.value)) {
+      return out;
+    }
+    played_job job;
+    job.id = "job" + std::to_string(1'000 + i);
+    job.at = millis{static_cast<std::int64_t>(at)};
+    step_spec step;
+    step.checkpoints = true;
+    if (random() % 2 == 0) {
+      constexpr std::int64_t sizes[] = {2, 4, 8, 8, 8, 8};
+      constexpr std::int32_t counts[] = {1, 1, 1, 2, 2, 3};
+      job.queue = "grade";
+      job.run_time = millis{static_cast<std::int64_t>(3'600 * spread(random))};
+      step.gang = gangs;
+      step.count = counts[random() % 6];
+      step.need = {millicores{31'000}, mebibytes{45'000}, devices{sizes[random() % 6]}};
+    } else {
+      job.queue = "check";
+      job.run_time = millis{static_cast<std::int64_t>(3'800 * spread(random))};
+      step.count = static_cast<std::int32_t>(1 + random() % 7);
+      step.need = check_need;
+    }
+    const double good = job.queue == "grade" ? 0.3 : 0.45;
+    for (int r = 0; r < runner_count; ++r) {
+      if (std::bernoulli_distribution(good)(random)) {
+        job.permitted.push_back(runner_name(r));
+      }
+    }
+    if (job.permitted.empty()) {
+      job.permitted.push_back(runner_name(0));
+    }
+    step.estimate = job.run_time;
+    job.spec.steps = {step};
+    out.push_back(std::move(job));
+  }
+}
+
+cell_builder inspection_cell() {
+  cell_builder cell;
+  cell.queue().advice = advice_terms{100, 1, millis{2'000}};
+  cell.add_queue("grade", 1, 2.2).target_latency = millis{1'000};
+  cell.add_queue("check", 2, 4.0).target_latency = millis{3'000};
+  for (int i = 0; i < runner_count; ++i) {
+    cell.add_runner(runner_name(i), inspection_runner, "r" + std::to_string(i / 3));
+  }
+  return cell;
+}
+
+struct totals {
+  double grade = 0;
+  double check = 0;
+  double use = 0;  // Of the accelerators, over the length of the load.
+};
+
+totals play(double load_factor, double crowd, bool gangs) {
+  constexpr std::uint32_t seeds = 5;
+  totals out;
+  for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+    cell_builder cell = inspection_cell();
+    load_player player(cell);
+    const auto results = player.play(inspection_load(load_factor, crowd, gangs, seed), load_length);
+    out.grade += results.at("grade").in_time_share() / seeds;
+    out.check += results.at("check").in_time_share() / seeds;
+    out.use += static_cast<double>(player.accelerator_ms()) /
+               static_cast<double>(runner_count * 8 * load_length.value) / seeds;
+  }
+  return out;
+}
+
+TEST_CASE("Late work of an urgent queue does not make the next queue late as well") {
+  // A crowd on top of more than the runners can do. What is late already is worth
+  // little; the less urgent queue's jobs have more slack, so more of them can be in
+  // time.
+  const totals got = play(1.3, 6, false);
+  INFO("grade " << got.grade << " check " << got.check << " use " << got.use);
+  CHECK(got.check > 0.5);
+  CHECK(got.grade + got.check > 0.85);
+}
+
+TEST_CASE("Large tasks need not wait until a whole runner happens to be free") {
+  const totals got = play(0.8, 1, false);
+  INFO("grade " << got.grade << " check " << got.check << " use " << got.use);
+  CHECK(got.grade > 0.82);
+  CHECK(got.check > 0.9);
+}
+
+TEST_CASE("Gangs need not wait until a whole runner happens to be free") {
+  const totals got = play(0.8, 1, true);
+  INFO("grade " << got.grade << " check " << got.check << " use " << got.use);
+  CHECK(got.grade > 0.82);
+  CHECK(got.check > 0.9);
+}
+
+}  // namespace
+}  // namespace monsoonmux::cell
--- a/src/decide/testing/runner_book_test.cc
+++ b/src/decide/testing/runner_book_test.cc
@@ -69,8 +69,8 @@
 TEST_CASE("A declared duration does not show that a runner stands still") {
   cell_builder cell;
   runner_state& runner = cell.add_runner("a", {millicores{8'000}, mebibytes{8'000}, devices{0}});
-  live_job& job = cell.add_job(
-      "j", cell_builder::step(3, {millicores{1'000}, mebibytes{100}, devices{0}}));
+  live_job& job =
+      cell.add_job("j", cell_builder::step(3, {millicores{1'000}, mebibytes{100}, devices{0}}));
   const step_ref step{job_id("j"), 0, 0};
   for (std::int32_t i = 0; i < 3; ++i) {
     cell.state.runners.add("a", resident_of(cell.state, job, {step, i}, 1, cell.now));
--- a/src/decide/urgency.cc
+++ b/src/decide/urgency.cc
@@ -13,6 +13,9 @@
 // slack than this would mostly come too late.
 constexpr std::int64_t margin_per_chain = 5;  // A fifth of what is left to run.
 constexpr millis margin_at_least{150};
+// Late work yields to work in time of its own priority and of the next one: that has
+// more slack as a rule, and would be late as well behind a backlog of late work.
+constexpr std::int32_t levels_behind_when_late = 2;
 // A tenant may exceed its share by this factor before it yields to others.
 constexpr double share_tolerance = 1.3;
 
@@ -89,7 +92,7 @@
   out.slack = objective - waited - left;
   out.given_up = waited + left > objective * worthless_after;
   const bool hopeless = out.slack < left / margin_per_chain + margin_at_least;
-  out.priority = queue->priority + (hopeless ? 1 : 0);
+  out.priority = queue->priority + (hopeless ? levels_behind_when_late : 0);
   return out;
 }
 
--- a/src/decide/urgency.h
+++ b/src/decide/urgency.h
@@ -8,12 +8,12 @@
 
 // Where a step stands among all that wait; the smallest goes first.
 //
-// Work that can still meet its objective goes before work of the same priority
-// that cannot, and work that is worth nothing to its submitter any more goes last,
-// but is still done.
+// Work that can still meet its objective goes before work of the same priority and
+// of the one before that cannot, and work that is worth nothing to its submitter any more goes
+// last, but is still done.
 struct urgency {
   bool given_up = false;      // Past the multiple of its objective that counts.
-  std::int32_t priority = 0;  // Of the queue, one more once it is late.
+  std::int32_t priority = 0;  // Of the queue; a larger number once it is late.
   bool over_share = false;    // Its tenant uses well over its share.
   millis slack;               // Until the objective, less what is left to run.
 
