Owner's beats: takeover after 0.6 s, other daemons read the log less

Cause: a dead owner was noticed after 1.2 to 1.5 s of silence in the log, and after an outage of the log its silence was counted only from the first answer of a long read, 1.5 s late. Seven daemons read the whole log 8 times a second just to answer callers. The owner now tells its peers every 100 ms that it is alive and reaches the log, and which jobs' states are new; silence on both ways for 0.6 s is a reason to claim, in the log alone for 1.5 s. An owner that is cut off from the log falls silent. The first read after a failure does not wait. What the owner wrote goes into its own book at once, ordered by offset. Tests: A dead owner is followed within a second (10 seeds); An owner that is cut off from the log is followed; An owner whose beats are lost keeps its claim; Other daemons know a job's state before they read it; random cells also lose datagrams now.

--- a/src/cell/advice_dispatcher.cc
+++ b/src/cell/advice_dispatcher.cc
@@ -73,31 +73,24 @@
                         }});
     return true;
   }
-  peer_message message;
-  message.kind = peer_kind::advice_request;
-  message.sender = this->self.text;
-  message.request = number;
-  message.step = wish.step.text();
-  message.expected_ms = expected.value;
-  message.runners = wish.runners;
-  this->link.send(message, chosen->address);
+  this->link.send({this->self.text,
+                   advice_request_message{number, wish.step.text(), expected.value, wish.runners}},
+                  chosen->address);
   return true;
 }
 
-void advice_dispatcher::heard(const peer_message& message, const peer_address& from) {
-  if (message.kind == peer_kind::hello) {
-    peer& p = this->peers[message.sender];
-    p.address = from;
-    p.heard = this->time.now();
-    return;
-  }
-  if (message.kind == peer_kind::advice_answer) {
-    std::vector<ticket> tickets;
-    for (const peer_ticket& t : message.tickets) {
-      tickets.push_back({t.runner, t.text});
-    }
-    this->settle(message.request, message.answered, tickets);
+void advice_dispatcher::heard(const std::string& daemon, const peer_address& from) {
+  peer& p = this->peers[daemon];
+  p.address = from;
+  p.heard = this->time.now();
+}
+
+void advice_dispatcher::answered(const advice_answer_message& answer) {
+  std::vector<ticket> tickets;
+  for (const peer_ticket& t : answer.tickets) {
+    tickets.push_back({t.runner, t.text});
   }
+  this->settle(answer.request, answer.answered, tickets);
 }
 
 void advice_dispatcher::settle(std::int64_t number, bool answered,
--- a/src/cell/advice_dispatcher.h
+++ b/src/cell/advice_dispatcher.h
@@ -39,7 +39,9 @@
 
   // False if every daemon has enough to do; the wish may be made again later.
   bool ask(const advice_wish& wish);
-  void heard(const peer_message& message, const peer_address& from);
+  // The daemon is there and can be asked.
+  void heard(const std::string& daemon, const peer_address& from);
+  void answered(const advice_answer_message& answer);
   void tick();
 
  private:
--- a/src/cell/cell_daemon.cc
+++ b/src/cell/cell_daemon.cc
@@ -23,6 +23,7 @@
       writer(loop, given.log, now),
       front(this->writer, now, out, counted),
       advice(given.advice, now),
+      beat(given.peers, now, chosen.self),
       config_feed(loop, given.log, now, out, given.sources.config_topic(), {},
                   {[this](const logged_record& r) { this->config_record(r); }, [] {}, {}}),
       work_feed(loop, given.log, now, out, work_topic,
@@ -37,6 +38,7 @@
             {[this](epoch at) { this->gained(at); },
              [this](const std::string& why) { this->lost(why); }}),
       hello(loop),
+      beat_timer(loop),
       retire(loop) {}
 
 cell_daemon::~cell_daemon() {
@@ -48,6 +50,7 @@
   this->work_feed.start();
   this->claim.start();
   this->say_hello();
+  this->send_beat();
 }
 
 bool cell_daemon::ready() const {
@@ -88,14 +91,18 @@
 }
 
 void cell_daemon::work_record(const logged_record& record) {
-  const book_change change = this->book.apply(record.record);
+  const auto key = parse_key(record.record.key);
+  const job_record* const before = key ? this->book.find(key->job) : nullptr;
+  const std::optional<job_phase> was =
+      before != nullptr && before->submission ? std::optional(before->phase()) : std::nullopt;
+  const book_change change = this->book.apply(record.record, record.offset);
   if (change == book_change::unreadable) {
     this->events.write("record_unreadable",
                        {{"offset", record.offset}, {"key", record.record.key}});
     return;
   }
-  if (this->orders && this->orders->active()) {
-    const auto key = parse_key(record.record.key);
+  if (this->owns()) {
+    this->tell_peers(key->job, was);
     if (change == book_change::submitted) {
       this->orders->submitted(*this->book.find(key->job));
     } else if (change == book_change::cancelled) {
@@ -112,6 +119,13 @@
   }
 }
 
+void cell_daemon::tell_peers(const job_id& job, std::optional<job_phase> was) {
+  const job_record* const now = this->book.find(job);
+  if (now != nullptr && now->submission && now->phase() != was) {
+    this->beat.note(job, now->phase());
+  }
+}
+
 void cell_daemon::gained(epoch at) {
   this->events.write("owner_gained", {{"epoch", at.value}});
   this->metrics.count("owner_gained");
@@ -127,16 +141,19 @@
                                 this->events,      this->metrics};
   this->orders = std::make_unique<owner>(
       services, this->options.self, this->owned, this->claim.former_orders_until(),
-      this->options.owner, [this] { return this->claim.may_order(); },
-      [this](const std::string& why) {
-        this->io.post([this, why, a = this->alive] {
-          if (*a) {
-            this->claim.lose(why);
-          }
-        });
-      });
+      this->options.owner,
+      owner_handlers{[this] { return this->claim.may_order(); },
+                     [this](const std::string& why) {
+                       this->io.post([this, why, a = this->alive] {
+                         if (*a) {
+                           this->claim.lose(why);
+                         }
+                       });
+                     },
+                     [this](const logged_record& record) { this->work_record(record); }});
   this->orders->fence([this](std::int64_t end) {
     this->fenced_at = end;
+    this->work_feed.hurry();
     this->finish_takeover();
   });
 }
@@ -213,40 +230,80 @@
 
 void cell_daemon::say_hello() {
   this->hello.start(this->options.hello_every, [this] { this->say_hello(); });
-  const auto& owner = this->claim.newest();
-  if (!owner || owner->resigned || this->claim.owner()) {
-    return;
+  const std::optional<peer_address> owner = this->owner_address();
+  if (owner && !this->claim.owner()) {
+    this->ports.peers.send({this->options.self.text, hello_message{this->advice.backlog().value}},
+                           *owner);
   }
-  peer_message message;
-  message.kind = peer_kind::hello;
-  message.sender = this->options.self.text;
-  message.backlog_ms = this->advice.backlog().value;
-  this->ports.peers.send(message, {owner->peer_address, owner->peer_port});
 }
 
-void cell_daemon::heard(const peer_message& message, const peer_address& from) {
-  if (message.kind == peer_kind::advice_request) {
-    this->advise(message, from);
-    return;
+// The owner that beats is the newest one, also where the log cannot be read.
+std::optional<peer_address> cell_daemon::owner_address() const {
+  if (this->claim.hears_beats()) {
+    return this->beat_source;
+  }
+  const auto& newest = this->claim.newest();
+  if (!newest || newest->resigned) {
+    return std::nullopt;
   }
-  if (this->orders) {
-    this->orders->heard(message, from);
+  return peer_address{newest->peer_address, newest->peer_port};
+}
+
+// True while peers may count on this owner: it gives orders and the log takes what it
+// writes. An owner that is cut off from the log falls silent, and is followed.
+bool cell_daemon::beats() const {
+  return this->owns() && !this->draining && this->orders->writes() &&
+         this->claim.renewed_within(this->options.beat_renewal_age);
+}
+
+void cell_daemon::send_beat() {
+  this->beat_timer.start(this->beat.settings().every, [this] { this->send_beat(); });
+  if (this->beats()) {
+    this->beat.send(this->owned);
+  }
+}
+
+void cell_daemon::hear_beat(const owner_beat_message& heard, const peer_address& from) {
+  const auto& newest = this->claim.newest();
+  if (newest && heard.owner_epoch < newest->owner_epoch) {
+    return;  // Of a former owner.
+  }
+  this->claim.beat(heard.owner_epoch);
+  this->beat_source = from;
+  for (const known_peer& peer : heard.peers) {
+    this->beat.heard_of(peer);
+  }
+  for (const job_phase_change& change : heard.phases) {
+    this->book.note_phase(change.job, change.phase);
+  }
+}
+
+void cell_daemon::heard(const peer_message& message, const peer_address& from) {
+  if (const auto* const request = std::get_if<advice_request_message>(&message.body)) {
+    this->advise(*request, from);
+  } else if (const auto* const beat_heard = std::get_if<owner_beat_message>(&message.body)) {
+    this->hear_beat(*beat_heard, from);
+  } else if (std::holds_alternative<hello_message>(message.body)) {
+    this->beat.heard(message.sender, from);
+    if (this->orders) {
+      this->orders->heard(message.sender, from);
+    }
+  } else if (const auto* const answer = std::get_if<advice_answer_message>(&message.body)) {
+    if (this->orders) {
+      this->orders->advice_answered(*answer);
+    }
   }
 }
 
-void cell_daemon::advise(const peer_message& request, const peer_address& from) {
+void cell_daemon::advise(const advice_request_message& request, const peer_address& from) {
   this->advice.ask(
       {request.step, request.runners, millis{request.expected_ms},
        [this, number = request.request, from](bool answered, const std::vector<ticket>& tickets) {
-         peer_message answer;
-         answer.kind = peer_kind::advice_answer;
-         answer.sender = this->options.self.text;
-         answer.request = number;
-         answer.answered = answered;
+         advice_answer_message answer{number, answered, {}};
          for (const ticket& t : tickets) {
            answer.tickets.push_back({t.runner, t.text});
          }
-         this->ports.peers.send(answer, from);
+         this->ports.peers.send({this->options.self.text, std::move(answer)}, from);
        }});
 }
 
--- a/src/cell/cell_daemon.h
+++ b/src/cell/cell_daemon.h
@@ -8,6 +8,7 @@
 #include "async/counters.h"
 #include "async/event_log.h"
 #include "cell/advice_desk.h"
+#include "cell/beat_sender.h"
 #include "cell/cell_sources.h"
 #include "cell/job_desk.h"
 #include "cell/log_follower.h"
@@ -31,9 +32,12 @@
   // A read of the jobs' records waits this long for one, so that silence is noticed.
   millis book_wait{600};
   millis discovery_interval{250};  // Between two reads of the runners' list.
-  // Between two reads of the jobs' records. The owner sees new work as soon; what
-  // callers are told elsewhere may be this old.
-  millis book_interval{120};
+  // Between two reads of the jobs' records by daemons that do not own. The owner's
+  // beats tell them most of it sooner.
+  millis book_interval{400};
+  // The owner tells its peers that it is alive only if its claim was renewed this
+  // lately.
+  millis beat_renewal_age{1'500};
   millis owner_book_interval{8};
 };
 
@@ -73,6 +77,8 @@
  private:
   void config_record(const logged_record& record);
   void work_record(const logged_record& record);
+  // Has the next beat tell of a job whose phase is another than it `was`.
+  void tell_peers(const job_id& job, std::optional<job_phase> was);
   void runner_record(const logged_record& record);
   void runners_loaded();
   void gained(epoch at);
@@ -80,7 +86,11 @@
   void begin_ownership();
   void finish_takeover();
   void say_hello();
-  void advise(const peer_message& request, const peer_address& from);
+  void hear_beat(const owner_beat_message& beat, const peer_address& from);
+  void advise(const advice_request_message& request, const peer_address& from);
+  void send_beat();
+  bool beats() const;
+  std::optional<peer_address> owner_address() const;
 
   event_loop& io;
   daemon_ports ports;
@@ -92,6 +102,7 @@
   job_desk front;
   job_book book;
   advice_desk advice;
+  beat_sender beat;
   log_follower config_feed;
   log_follower work_feed;
   ownership claim;
@@ -102,6 +113,8 @@
   epoch owned{0};
   std::int64_t fenced_at = -1;  // End of the log at our fence; -1: not fenced yet.
   timer hello;
+  timer beat_timer;
+  std::optional<peer_address> beat_source;  // Of the newest owner that beats.
   timer retire;
   std::unique_ptr<owner> retired;
   std::unique_ptr<log_follower> retired_feed;
--- a/src/cell/job_desk.cc
+++ b/src/cell/job_desk.cc
@@ -98,7 +98,7 @@
 
 result<std::optional<job_phase>> job_desk::phase_of(const job_id& job) const {
   const job_record* const record = this->book != nullptr ? this->book->find(job) : nullptr;
-  if (record != nullptr && record->submission) {
+  if (record != nullptr && (record->submission || record->told)) {
     return std::optional<job_phase>(record->phase());
   }
   if (!this->book_is_fresh()) {
--- a/src/cell/log_follower.cc
+++ b/src/cell/log_follower.cc
@@ -66,7 +66,10 @@
 
 void log_follower::read() {
   this->read_started = this->time.now();
-  this->log.read(this->topic, this->next, this->options.wait,
+  this->waits_for_turn = false;
+  // After a failure any answer is news: the log is back.
+  const millis wait = this->failures > 0 ? millis{0} : this->options.wait;
+  this->log.read(this->topic, this->next, wait,
                  [this, a = this->alive](result<read_answer> answer) {
                    if (!*a) {
                      return;
@@ -97,12 +100,24 @@
 void log_follower::schedule_read() {
   const millis since = this->time.now() - this->read_started;
   if (since < this->min_interval) {
+    this->waits_for_turn = true;
     this->next_try.start(this->min_interval - since, [this] { this->read(); });
     return;
   }
   this->read();
 }
 
+void log_follower::pace(millis interval) {
+  this->min_interval = interval;
+  this->hurry();
+}
+
+void log_follower::hurry() {
+  if (this->waits_for_turn) {
+    this->next_try.start(millis{0}, [this] { this->read(); });
+  }
+}
+
 void log_follower::note_contact() {
   if (this->failures > 0) {
     this->events.write("log_regained", {{"topic", this->topic}, {"failed", this->failures}});
--- a/src/cell/log_follower.h
+++ b/src/cell/log_follower.h
@@ -38,8 +38,10 @@
   log_follower& operator=(const log_follower&) = delete;
 
   void start();
-  // Changes the least time between the starts of two reads.
-  void pace(millis min_interval) { this->min_interval = min_interval; }
+  // Changes the least time between the starts of two reads, from now on.
+  void pace(millis min_interval);
+  // Reads now, if it is only waiting for its next turn.
+  void hurry();
   bool loaded() const { return this->is_loaded; }
   // All records below this offset have been delivered.
   std::int64_t position() const { return this->next; }
@@ -73,6 +75,7 @@
   std::int64_t failures = 0;
   instant contact{0};
   instant read_started{0};
+  bool waits_for_turn = false;  // The next read is only put off by min_interval.
 };
 
 }  // namespace monsoonmux::cell
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -17,19 +17,18 @@
 }  // namespace
 
 owner::owner(const owner_services& given, daemon_id name, epoch under, instant former_orders_until,
-             const owner_options& chosen, std::function<bool()> may,
-             std::function<void(const std::string&)> over)
+             const owner_options& chosen, owner_handlers handlers)
     : services(given),
       self(std::move(name)),
       at(under),
       options(chosen),
-      may_order(std::move(may)),
-      on_over(std::move(over)),
+      on(std::move(handlers)),
       planner(this->state, chosen.placement),
       writer(
           given.io, given.log, given.time, given.events, under,
           [this](const job_id& job) { return this->newest_record(job); },
-          [this] { this->on_over("fenced in the log"); }),
+          [this](const logged_record& record) { this->on.on_record(record); },
+          [this] { this->on.on_over("fenced in the log"); }),
       dispatcher(given.peers, given.advice, given.time, given.events, this->self,
                  [this](const step_ref& step, const std::vector<std::string>& asked, bool answered,
                         const std::vector<ticket>& tickets) {
@@ -327,11 +326,15 @@
 }
 
 void owner::token_refused(const std::string& runner) {
-  this->on_over("runner " + runner + " has seen a higher token");
+  this->on.on_over("runner " + runner + " has seen a higher token");
 }
 
-void owner::heard(const peer_message& message, const peer_address& from) {
-  this->dispatcher.heard(message, from);
+void owner::heard(const std::string& daemon, const peer_address& from) {
+  this->dispatcher.heard(daemon, from);
+}
+
+void owner::advice_answered(const advice_answer_message& answer) {
+  this->dispatcher.answered(answer);
 }
 
 void owner::advised(const step_ref& step, const std::vector<std::string>& asked, bool answered,
@@ -355,7 +358,7 @@
 void owner::tick() {
   this->ticker.start(this->options.tick, [this] { this->tick(); });
   this->dispatcher.tick();
-  if (!this->may_order()) {
+  if (!this->on.may_order()) {
     return;  // A successor may already count on this owner's silence.
   }
   for (auto& [id, session] : this->sessions) {
@@ -448,7 +451,7 @@
 }
 
 void owner::make_plan() {
-  if (!this->may_order() || this->writer.stalled_for() > this->options.writer_stall) {
+  if (!this->on.may_order() || this->writer.stalled_for() > this->options.writer_stall) {
     return;  // What is placed now could not be started; tick() asks again.
   }
   const instant now = this->services.time.now();
@@ -503,7 +506,7 @@
     const live_task* const task = it == this->state.jobs.end() ? nullptr : it->second.find(p.task);
     const run_key run{p.task, p.run};
     const bool wanted = task != nullptr && task->phase == task_phase::placed &&
-                        task->run == p.run && !is_final(it->second.phase()) && this->may_order();
+                        task->run == p.run && !is_final(it->second.phase()) && this->on.may_order();
     if (!wanted) {
       this->run_gone(p.runner, run, "no_longer_wanted");
       continue;
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -44,6 +44,14 @@
   counters& metrics;
 };
 
+struct owner_handlers {
+  std::function<bool()> may_order;
+  // The epoch is over.
+  std::function<void(const std::string& why)> on_over;
+  // A record that the owner wrote is in the log.
+  std::function<void(const logged_record&)> on_record;
+};
+
 // Runs all open jobs under one epoch.
 //
 // It takes over in this order: shut out former owners in the log, read the log to
@@ -54,8 +62,7 @@
  public:
   // No former owner gave an order after `former_orders_until`.
   owner(const owner_services& services, daemon_id self, epoch at, instant former_orders_until,
-        const owner_options& options, std::function<bool()> may_order,
-        std::function<void(const std::string&)> on_over);
+        const owner_options& options, owner_handlers on);
   ~owner() override;
 
   // First of all; `on_fenced` gets the end of the log.
@@ -70,7 +77,11 @@
   void cancelled(const job_id& job);
   void runner_listed(const runner_entry& entry);
   void runner_unlisted(const std::string& id);
-  void heard(const peer_message& message, const peer_address& from);
+  // A peer is there and can be asked for advice.
+  void heard(const std::string& daemon, const peer_address& from);
+  void advice_answered(const advice_answer_message& answer);
+  // True while what it writes gets into the log.
+  bool writes() const { return this->writer.stalled_for() <= this->options.writer_stall; }
 
  private:
   void runner_admitted(const std::string& runner, std::int64_t born) override;
@@ -111,8 +122,7 @@
   const daemon_id self;
   const epoch at;
   const owner_options options;
-  const std::function<bool()> may_order;
-  const std::function<void(const std::string&)> on_over;
+  const owner_handlers on;
   cell_state state;
   placer planner;
   progress_writer writer;
--- a/src/cell/ownership.cc
+++ b/src/cell/ownership.cc
@@ -7,7 +7,7 @@
 namespace monsoonmux::cell {
 namespace {
 
-constexpr millis tick_every{100};
+constexpr millis tick_every{50};
 // A resigned owner is followed without the usual silence.
 constexpr millis resigned_silence{0};
 // The first owner of a cell claims once the others had time to start as well.
@@ -113,7 +113,16 @@
   if (!this->claim) {
     return first_silence + turn;
   }
-  return (this->claim->resigned ? resigned_silence : this->options.claim_after) + turn;
+  if (this->claim->resigned) {
+    return resigned_silence + turn;
+  }
+  return (this->hears_beats() ? this->options.claim_after_beats : this->options.claim_after) + turn;
+}
+
+void ownership::beat(epoch of) {
+  if (this->claim && of >= this->claim->owner_epoch) {
+    this->last_beat = this->time.now();
+  }
 }
 
 void ownership::renew() {
--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -17,11 +17,17 @@
   daemon_id self;
   std::string peer_address;
   std::uint16_t peer_port = 0;
-  millis renew_every{350};
-  // Silence of the owner, in a log that answers, after which others claim.
-  millis claim_after{1'200};
+  millis renew_every{250};
+  // Silence of the owner, in a log that answers and among the daemons, after which
+  // others claim.
+  millis claim_after{600};
+  // The same while the owner's beats still arrive: it is only the log that is slow
+  // for it.
+  millis claim_after_beats{1'500};
+  // Beats come every 100 ms; after this without one the owner counts as silent.
+  millis beat_silence{400};
   // Candidates spread over this time, so that one claim meets no other.
-  millis stagger{300};
+  millis stagger{150};
   // After its last renewal an owner gives orders no longer than this. Its
   // successor counts on it for runners that it cannot reach.
   millis orders_after_renewal{3'500};
@@ -52,6 +58,15 @@
   bool may_order() const;
   // A former owner gave no order after this; known at the gain of ownership.
   instant former_orders_until() const { return this->former_until; }
+  // The owner of this epoch says that it is alive and reaches the log.
+  void beat(epoch of);
+  bool hears_beats() const {
+    return this->time.now() - this->last_beat < this->options.beat_silence;
+  }
+  // True if the claim was renewed lately: the owner reaches the log.
+  bool renewed_within(millis age) const {
+    return this->is_owner && this->time.now() - this->renewed <= age;
+  }
   // The newest claim; nothing if there was none yet.
   const std::optional<owner_claim>& newest() const { return this->claim; }
   // Gives the claim up, so that another daemon claims at once.
@@ -77,7 +92,8 @@
   timer ticker;
   std::optional<owner_claim> claim;
   std::int64_t end = 0;
-  instant heard{0};
+  instant heard{0};      // When the topic last showed the owner alive.
+  instant last_beat{0};  // When it last said so itself.
   instant former_until{0};
   instant renewed{0};
   instant renewal_sent{0};
--- a/src/cell/peer_message.cc
+++ b/src/cell/peer_message.cc
@@ -6,7 +6,7 @@
 namespace monsoonmux::cell {
 namespace {
 
-constexpr char format_version = 1;
+constexpr char format_version = 2;
 
 }  // namespace
 
--- a/src/cell/peer_message.h
+++ b/src/cell/peer_message.h
@@ -1,19 +1,42 @@
 #pragma once
 
 #include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
+#include "base/ids.h"
+#include "model/cell_record.h"
+
+// What daemons say to each other, one message per datagram. All of it may be lost,
+// come twice or out of order.
 namespace monsoonmux::cell {
 
-// What daemons say to each other, one message per datagram. All of it may be lost.
-enum class peer_kind : std::uint8_t {
-  hello,           // To the owner: I am here and can ask for advice.
-  advice_request,  // From the owner: ask about these runners.
-  advice_answer,
+// To the owner: the sender is here and can ask for advice.
+struct hello_message {
+  std::int64_t backlog_ms = 0;  // Time until a new question would begin.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->backlog_ms);
+  }
+};
+
+// From the owner: ask the advice service about these runners.
+struct advice_request_message {
+  std::int64_t request = 0;
+  std::string step;
+  std::int64_t expected_ms = 0;  // What the call will take.
+  std::vector<std::string> runners;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->request, this->step, this->expected_ms, this->runners);
+  }
 };
 
 struct peer_ticket {
@@ -26,21 +49,63 @@
   }
 };
 
+struct advice_answer_message {
+  std::int64_t request = 0;
+  bool answered = false;  // False if the call failed.
+  std::vector<peer_ticket> tickets;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->request, this->answered, this->tickets);
+  }
+};
+
+// A job whose state in the log is new since the last beat.
+struct job_phase_change {
+  job_id job;
+  job_phase phase = job_phase::queued;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->job, this->phase);
+  }
+};
+
+// A daemon and where it listens.
+struct known_peer {
+  std::string daemon;
+  std::string host;
+  std::uint16_t port = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->daemon, this->host, this->port);
+  }
+};
+
+// From the owner, while it reaches the log: it is alive, and what callers elsewhere
+// should be told.
+struct owner_beat_message {
+  epoch owner_epoch;
+  std::vector<job_phase_change> phases;
+  std::vector<known_peer> peers;  // All that it knows; in some of the beats.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->owner_epoch, this->phases, this->peers);
+  }
+};
+
+using peer_body =
+    std::variant<hello_message, advice_request_message, advice_answer_message, owner_beat_message>;
+
 struct peer_message {
-  peer_kind kind = peer_kind::hello;
   std::string sender;
-  std::int64_t request = 0;          // Number of the request that is answered.
-  std::int64_t backlog_ms = 0;       // hello: time until a new request would begin.
-  std::string step;                  // advice_request.
-  std::int64_t expected_ms = 0;      // advice_request: what the call will take.
-  std::vector<std::string> runners;  // advice_request.
-  bool answered = false;             // advice_answer: false if the call failed.
-  std::vector<peer_ticket> tickets;  // advice_answer.
+  peer_body body;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->kind, this->sender, this->request, this->backlog_ms, this->step,
-            this->expected_ms, this->runners, this->answered, this->tickets);
+    archive(this->sender, this->body);
   }
 };
 
--- a/src/cell/progress_writer.cc
+++ b/src/cell/progress_writer.cc
@@ -7,7 +7,7 @@
 namespace monsoonmux::cell {
 
 progress_writer::progress_writer(event_loop& loop, shared_log& target, const clock& now,
-                                 event_log& out, epoch under, record_source make,
+                                 event_log& out, epoch under, record_source make, record_sink sink,
                                  std::function<void()> fenced, const progress_writer_options& given)
     : io(loop),
       log(target),
@@ -15,6 +15,7 @@
       events(out),
       at(under),
       source(std::move(make)),
+      on_record(std::move(sink)),
       on_fenced(std::move(fenced)),
       options(given),
       retry(loop) {}
@@ -118,7 +119,12 @@
     this->in_flight = false;
     this->next_sequence = this->current.sequence + 1;
     const auto stored = std::move(this->current.on_stored);
+    const auto records = std::move(this->current.records);
     const auto a = this->alive;
+    std::int64_t offset = answer.first;
+    for (const keyed_record& record : records) {
+      this->on_record({offset++, record});
+    }
     for (const auto& follower : stored) {
       if (!*a) {
         return;
--- a/src/cell/progress_writer.h
+++ b/src/cell/progress_writer.h
@@ -27,9 +27,11 @@
  public:
   // Makes the newest record of a job.
   using record_source = std::function<keyed_record(const job_id&)>;
+  // Is told of each record that is in the log, before what was asked to follow it.
+  using record_sink = std::function<void(const logged_record&)>;
 
   progress_writer(event_loop& io, shared_log& log, const clock& time, event_log& events, epoch at,
-                  record_source source, std::function<void()> on_fenced,
+                  record_source source, record_sink on_record, std::function<void()> on_fenced,
                   const progress_writer_options& options = {});
   ~progress_writer();
   progress_writer(const progress_writer&) = delete;
@@ -60,6 +62,7 @@
   event_log& events;
   const epoch at;
   const record_source source;
+  const record_sink on_record;
   const std::function<void()> on_fenced;
   const progress_writer_options options;
   timer retry;
--- a/src/cell/shared_log.h
+++ b/src/cell/shared_log.h
@@ -39,6 +39,7 @@
   append_status status = append_status::unknown;
   std::int64_t end = 0;                // Where the topic ends; with done and end_moved.
   std::int64_t expected_sequence = 0;  // With out_of_sequence.
+  std::int64_t first = 0;              // Offset of the first record; with done.
 };
 
 struct logged_record {
--- a/src/cell/testing/cell_test.cc
+++ b/src/cell/testing/cell_test.cc
@@ -135,6 +135,58 @@
   check_history(cell);
 }
 
+TEST_CASE("A dead owner is followed within a second") {
+  for (std::uint32_t seed = 1; seed <= 10; ++seed) {
+    INFO("seed " << seed);
+    fake_cell cell(3, 2, seed);
+    cell.loop.run_for(boot_time);
+    const int former = owner_of(cell);
+    REQUIRE(former >= 0);
+    cell.nodes[static_cast<std::size_t>(former)]->kill();
+    cell.submit((former + 1) % 3, job_name(1), fake_cell::simple_job(2));
+    cell.loop.run_for(millis{1'000});
+    CHECK(cell.history.starts == 2);
+  }
+}
+
+TEST_CASE("An owner that is cut off from the log is followed, though it lives") {
+  fake_cell cell(3, 2, 11);
+  cell.loop.run_for(boot_time);
+  const int former = owner_of(cell);
+  REQUIRE(former >= 0);
+  cell.store.cut.insert(cell.nodes[static_cast<std::size_t>(former)]->name);
+  cell.submit((former + 1) % 3, job_name(1), fake_cell::simple_job(2));
+  cell.loop.run_for(millis{2'200});
+  CHECK(cell.history.starts == 2);
+  check_history(cell);
+}
+
+TEST_CASE("An owner whose beats are lost keeps its claim") {
+  fake_cell cell(3, 2, 12);
+  cell.loop.run_for(boot_time);
+  const int former = owner_of(cell);
+  REQUIRE(former >= 0);
+  cell.deaf.insert(cell.nodes[static_cast<std::size_t>(former)]->name);
+  cell.loop.run_for(millis{20'000});
+  CHECK(owner_of(cell) == former);
+}
+
+TEST_CASE("Other daemons know a job's state before they read it in the log") {
+  fake_cell cell(2, 2, 13);
+  cell.loop.run_for(boot_time);
+  const int owner = owner_of(cell);
+  REQUIRE(owner >= 0);
+  cell_daemon& other = *cell.nodes[static_cast<std::size_t>(1 - owner)]->daemon;
+  cell.submit(owner, job_name(0), fake_cell::simple_job(1));
+  cell.loop.run_for(millis{250});
+  const auto early = other.desk().phase_of(job_id(job_name(0)));
+  REQUIRE(early.has_value());
+  CHECK(early.value().has_value());
+  // Its one task takes 800 ms; the log is read every 400 ms, beats come every 100 ms.
+  cell.loop.run_for(millis{800});
+  CHECK(other.desk().phase_of(job_id(job_name(0))).value() == job_phase::completed);
+}
+
 TEST_CASE("A new owner does not take inherited runs for short ones") {
   // It sees only the last half second of the first job's tasks. If it took that for
   // their usual time, the second job's runs would soon look stalled, and their
@@ -271,6 +323,16 @@
           cell.store.put("runners", runner.entry.id, "1");
         }
         break;
+      case 9:
+        cell.lost_datagrams = cell.lost_datagrams > 0 ? 0 : 0.3;
+        break;
+      case 10:
+        if (cell.deaf.empty()) {
+          cell.deaf.insert(daemon().name);
+        } else {
+          cell.deaf.clear();
+        }
+        break;
       case 8:
         cell.store.lost_answers = cell.store.lost_answers > 0 ? 0 : 0.3;
         cell.store.late_appends = cell.store.late_appends > 0 ? 0 : 0.1;
@@ -284,6 +346,8 @@
   cell.store.cut.clear();
   cell.store.lost_answers = 0;
   cell.store.late_appends = 0;
+  cell.lost_datagrams = 0;
+  cell.deaf.clear();
   for (auto& runner : cell.runners) {
     runner->cut.clear();
     runner->late_orders = 0;
--- a/src/cell/testing/fake_cell.h
+++ b/src/cell/testing/fake_cell.h
@@ -48,9 +48,17 @@
   }
 };
 
-class no_peers final : public peer_port {
+class fake_cell;
+
+// Datagrams between the daemons of a fake cell.
+class fake_peers final : public peer_port {
  public:
-  void send(const peer_message&, const peer_address&) override {}
+  fake_peers(fake_cell& cell, std::string self) : cell(cell), self(std::move(self)) {}
+  void send(const peer_message& message, const peer_address& to) override;
+
+ private:
+  fake_cell& cell;
+  const std::string self;
 };
 
 // A whole cell in one thread under a clock of its own: daemons, runners and the
@@ -88,12 +96,15 @@
           name("d" + std::to_string(index)),
           log(cell.store, this->process, this->name),
           orders(cell.loop, this->process, this->name, cell.runners, seed * 31 + index),
+          peers(cell, this->name),
           events(log_descriptor(), cell.loop, this->name),
           sources(cell.config, cell.runners) {}
 
     void boot(fake_cell& cell) {
       daemon_options options;
       options.self = daemon_id(this->name);
+      options.address = this->name;
+      options.peer_port = 1;
       options.owner.session.hold_max = millis{6'000};
       this->daemon = std::make_unique<cell_daemon>(
           this->process,
@@ -111,7 +122,7 @@
     fake_store_port log;
     fake_runner_port orders;
     no_advice advice;
-    no_peers peers;
+    fake_peers peers;
     event_log events;
     fake_sources sources;
     counters metrics;
@@ -175,8 +186,30 @@
   cell_config config;
   std::vector<std::unique_ptr<fake_runner>> runners;
   std::vector<std::unique_ptr<node>> nodes;
+  double lost_datagrams = 0;
+  std::set<std::string> deaf;  // Daemons that exchange no datagrams.
   std::set<std::string> accepted;
   std::set<std::string> refused;
 };
 
+inline void fake_peers::send(const peer_message& message, const peer_address& to) {
+  constexpr millis travel{1};
+  const bool lost =
+      std::uniform_real_distribution<double>(0, 1)(this->cell.random) < this->cell.lost_datagrams;
+  if (lost || this->cell.deaf.contains(this->self) || this->cell.deaf.contains(to.host)) {
+    return;
+  }
+  for (auto& node : this->cell.nodes) {
+    if (node->name != to.host) {
+      continue;
+    }
+    node->process.after(travel, [&node = *node, bytes = encode(message), from = this->self] {
+      const auto received = decode_peer_message(bytes);
+      if (node.daemon && received) {
+        node.daemon->heard(*received, {from, 1});
+      }
+    });
+  }
+}
+
 }  // namespace monsoonmux::cell
--- a/src/cell/testing/fake_store.h
+++ b/src/cell/testing/fake_store.h
@@ -26,7 +26,7 @@
   void append(const std::string& from, fake_process& process, append_request request,
               std::function<void(append_answer)> on_answer) {
     this->call(from, process, append_timeout, on_answer,
-               append_answer{append_status::unknown, 0, 0}, [this, request](const auto& answer) {
+               append_answer{append_status::unknown, 0, 0, 0}, [this, request](const auto& answer) {
                  if (this->chance(this->late_appends)) {
                    this->loop.after(
                        millis{1'000 + static_cast<std::int64_t>(this->random() % 5'000)},
@@ -144,7 +144,8 @@
 
   append_answer apply(const append_request& request) {
     topic_state& topic = this->topics[request.topic];
-    append_answer out{append_status::done, this->end(request.topic), 0};
+    append_answer out{append_status::done, this->end(request.topic), 0, 0};
+    out.first = out.end;
     if (request.expected_end && *request.expected_end != out.end) {
       out.status = append_status::end_moved;
       return out;
--- a/src/decide/job_book.cc
+++ b/src/decide/job_book.cc
@@ -6,9 +6,15 @@
   if (this->progress && is_final(this->progress->phase)) {
     return this->progress->phase;
   }
+  if (this->told && is_final(*this->told)) {
+    return *this->told;
+  }
   if (this->cancelled) {
     return job_phase::cancelled;
   }
+  if (this->told == job_phase::running) {
+    return job_phase::running;
+  }
   return this->progress ? this->progress->phase : job_phase::queued;
 }
 
@@ -48,7 +54,7 @@
   }
 }
 
-book_change job_book::apply(const keyed_record& record) {
+book_change job_book::apply(const keyed_record& record, std::int64_t offset) {
   const auto key = parse_key(record.key);
   if (!key || record.value.empty()) {
     return key ? book_change::nothing : book_change::unreadable;
@@ -57,7 +63,7 @@
     case record_kind::submission:
       return this->apply_submission(key->job, record.value);
     case record_kind::progress:
-      return this->apply_progress(key->job, record.value);
+      return this->apply_progress(key->job, record.value, offset);
     case record_kind::run_times:
       return this->apply_run_times(record.value);
     case record_kind::cancellation:
@@ -86,15 +92,18 @@
   return book_change::submitted;
 }
 
-book_change job_book::apply_progress(const job_id& job, const std::string& value) {
+book_change job_book::apply_progress(const job_id& job, const std::string& value,
+                                     std::int64_t offset) {
   auto progress = decode_progress(value);
   if (!progress) {
     return book_change::unreadable;
   }
   job_record& entry = this->records[job];
-  if (entry.progress && progress->owner_epoch < entry.progress->owner_epoch) {
+  const bool older_epoch = entry.progress && progress->owner_epoch < entry.progress->owner_epoch;
+  if (older_epoch || offset <= entry.progress_offset) {
     return book_change::nothing;
   }
+  entry.progress_offset = offset;
   const bool counted = counts_as_pending(entry);
   entry.progress = std::move(progress);
   forget_details(entry);
@@ -102,6 +111,10 @@
   return book_change::progressed;
 }
 
+void job_book::note_phase(const job_id& job, job_phase phase) {
+  this->records[job].told = phase;
+}
+
 book_change job_book::apply_run_times(const std::string& value) {
   auto read = decode_learned_times(value);
   if (!read) {
--- a/src/decide/job_book.h
+++ b/src/decide/job_book.h
@@ -12,7 +12,9 @@
 struct job_record {
   std::optional<job_submission> submission;  // Its spec is emptied once the job is settled.
   std::optional<job_progress> progress;
+  std::int64_t progress_offset = -1;  // Of the record that `progress` is from.
   bool cancelled = false;
+  std::optional<job_phase> told;  // By the owner, ahead of the log.
 
   // The phase that callers are shown.
   job_phase phase() const;
@@ -27,11 +29,14 @@
 // answers callers from it, and an owner starts from it.
 //
 // Records may come more than once and submissions of one job from several
-// daemons; the first submission stands, the newest progress of the highest epoch
-// stands, and a cancellation stands for good.
+// daemons, and the owner's own before it reads them; the first submission stands, the
+// progress of the highest epoch and offset stands, and a cancellation stands for good.
 class job_book {
  public:
-  book_change apply(const keyed_record& record);
+  book_change apply(const keyed_record& record, std::int64_t offset);
+  // The owner says that the job is in this phase in the log. Records that come later
+  // say the rest.
+  void note_phase(const job_id& job, job_phase phase);
 
   const job_record* find(const job_id& job) const;
   const std::unordered_map<job_id, job_record>& jobs() const { return this->records; }
@@ -44,7 +49,7 @@
  private:
   book_change apply_run_times(const std::string& value);
   book_change apply_submission(const job_id& job, const std::string& value);
-  book_change apply_progress(const job_id& job, const std::string& value);
+  book_change apply_progress(const job_id& job, const std::string& value, std::int64_t offset);
   static void forget_details(job_record& entry);
   static bool counts_as_pending(const job_record& record);
   void recount(const job_record& record, bool counted_before);
