Callers' records go through the owner

Cause: each daemon appended its callers' records itself. A daemon cut off from the log refused all its callers, though the owner could have taken their jobs. A daemon now sends the record to the owner, which appends it with its own and answers; without an owner that beats it appends itself as before. Once sent to an owner, a record that was not stored here is of unknown fate, never 'not run'. The owner falls silent when an append takes 250 ms more than twice its usual time or is refused twice. A cut daemon's callers are judged again by a newer configuration. Ruled out: one partition a daemon, which would have left the owner to read them all. Tests: A daemon that is cut off from the log takes jobs through the owner; A newer configuration at the owner judges ... again (both new; the first refused the job before); the random cells now go this way with lost datagrams.

--- a/src/cell/cell_daemon.cc
+++ b/src/cell/cell_daemon.cc
@@ -21,7 +21,8 @@
       metrics(counted),
       options(chosen),
       writer(loop, given.log, now),
-      front(this->writer, now, out, counted),
+      relay(loop, given.peers, this->writer, now, chosen.self, *this),
+      front(this->relay, now, out, counted),
       advice(given.advice, now),
       beat(given.peers, now, chosen.self),
       config_feed(loop, given.log, now, out, given.sources.config_topic(), {},
@@ -218,6 +219,7 @@
   this->events.write("owner_lost", {{"epoch", this->owned.value}, {"why", why}});
   this->metrics.count("owner_lost");
   this->fenced_at = -1;
+  this->storing.clear();
   this->work_feed.pace(this->options.book_interval);
   // Destroyed from the loop: this may be called from inside of them.
   this->retired = std::move(this->orders);
@@ -269,6 +271,7 @@
     return;  // Of a former owner.
   }
   this->claim.beat(heard.owner_epoch);
+  this->relay.beat(heard.owner_epoch, from);
   this->beat_source = from;
   for (const known_peer& peer : heard.peers) {
     this->beat.heard_of(peer);
@@ -288,6 +291,10 @@
     if (this->orders) {
       this->orders->heard(message.sender, from);
     }
+  } else if (const auto* const wanted = std::get_if<store_request_message>(&message.body)) {
+    this->store_for_peer(message.sender, *wanted, from);
+  } else if (const auto* const stored = std::get_if<store_answer_message>(&message.body)) {
+    this->relay.answered(*stored);
   } else if (const auto* const answer = std::get_if<advice_answer_message>(&message.body)) {
     if (this->orders) {
       this->orders->advice_answered(*answer);
@@ -295,6 +302,51 @@
   }
 }
 
+void cell_daemon::store(keyed_record record, std::function<void()> on_stored) {
+  this->orders->store(std::move(record), std::move(on_stored));
+}
+
+// A peer that is cut off from the log may not know the newest configuration: its
+// caller is judged again by a newer one. While this daemon cannot store it does not
+// answer; its beats have stopped, and the peer goes another way.
+void cell_daemon::store_for_peer(const std::string& sender, const store_request_message& request,
+                                 const peer_address& from) {
+  if (!this->beats()) {
+    return;
+  }
+  const auto answer = [this, from, number = request.request](const store_answer_message& what) {
+    store_answer_message out = what;
+    out.request = number;
+    this->ports.peers.send({this->options.self.text, std::move(out)}, from);
+  };
+  if (request.version < this->front.config().version) {
+    const auto judged = this->front.identify(request.host, request.path, request.caller_key);
+    if (judged.has_error()) {
+      answer({0, false, judged.error().code, judged.error().detail});
+      return;
+    }
+  }
+  const auto key = parse_key(request.record_key);
+  if (!key || (key->kind != record_kind::submission && key->kind != record_kind::cancellation)) {
+    this->events.write("peer_record_refused", {{"from", sender}, {"key", request.record_key}});
+    answer({0, false, error_code::bad_request, "not a caller's record"});
+    return;
+  }
+  const job_record* const known = this->book.find(key->job);
+  if (known != nullptr && known->submission && key->kind == record_kind::submission) {
+    answer({0, true, {}, {}});
+    return;
+  }
+  const std::pair<std::string, std::int64_t> id{sender, request.request};
+  if (!this->storing.insert(id).second) {
+    return;  // A repeat; the answer comes when the record is in the log.
+  }
+  this->orders->store({request.record_key, request.record_value}, [this, id, answer] {
+    this->storing.erase(id);
+    answer({0, true, {}, {}});
+  });
+}
+
 void cell_daemon::advise(const advice_request_message& request, const peer_address& from) {
   this->advice.ask(
       {request.step, request.runners, millis{request.expected_ms},
--- a/src/cell/cell_daemon.h
+++ b/src/cell/cell_daemon.h
@@ -13,6 +13,7 @@
 #include "cell/job_desk.h"
 #include "cell/log_follower.h"
 #include "cell/owner.h"
+#include "cell/owner_relay.h"
 #include "cell/ownership.h"
 #include "cell/peer_port.h"
 #include "cell/submission_writer.h"
@@ -52,11 +53,11 @@
 
 // One daemon: follows the configuration and the jobs, serves callers, asks for
 // advice when the owner wants it, and is the owner itself when its claim wins.
-class cell_daemon {
+class cell_daemon final : private local_owner {
  public:
   cell_daemon(event_loop& io, const daemon_ports& ports, const clock& time, event_log& events,
               counters& metrics, const daemon_options& options);
-  ~cell_daemon();
+  ~cell_daemon() override;
   cell_daemon(const cell_daemon&) = delete;
   cell_daemon& operator=(const cell_daemon&) = delete;
 
@@ -75,6 +76,9 @@
   void drain(std::function<void()> on_resigned);
 
  private:
+  bool can_store() const override { return this->owns() && this->orders->writes(); }
+  void store(keyed_record record, std::function<void()> on_stored) override;
+
   void config_record(const logged_record& record);
   void work_record(const logged_record& record);
   // Has the next beat tell of a job whose phase is another than it `was`.
@@ -88,6 +92,8 @@
   void say_hello();
   void hear_beat(const owner_beat_message& beat, const peer_address& from);
   void advise(const advice_request_message& request, const peer_address& from);
+  void store_for_peer(const std::string& sender, const store_request_message& request,
+                      const peer_address& from);
   void send_beat();
   bool beats() const;
   std::optional<peer_address> owner_address() const;
@@ -99,6 +105,7 @@
   counters& metrics;
   const daemon_options options;
   submission_writer writer;
+  owner_relay relay;
   job_desk front;
   job_book book;
   advice_desk advice;
@@ -118,6 +125,8 @@
   timer retire;
   std::unique_ptr<owner> retired;
   std::unique_ptr<log_follower> retired_feed;
+  // Peers' records that are on their way into the log: sender and its number.
+  std::set<std::pair<std::string, std::int64_t>> storing;
   bool draining = false;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/src/cell/job_desk.cc
+++ b/src/cell/job_desk.cc
@@ -2,7 +2,7 @@
 
 namespace monsoonmux::cell {
 
-job_desk::job_desk(submission_writer& target, const clock& now, event_log& out, counters& counted,
+job_desk::job_desk(record_writer& target, const clock& now, event_log& out, counters& counted,
                    const desk_options& given)
     : writer(target), time(now), events(out), metrics(counted), options(given) {}
 
@@ -38,11 +38,20 @@
   if (tenant == nullptr && !queue->open) {
     return not_run(error_code::unauthorized, "unknown key");
   }
-  return caller{queue, tenant != nullptr && !queue->open ? tenant->name : team_id()};
+  const team_id team = tenant != nullptr && !queue->open ? tenant->name : team_id();
+  return caller{queue, team, {host, path, key, this->current.version}};
 }
 
-failure job_desk::fate_failure(write_fate fate) const {
-  if (fate == write_fate::unknown) {
+// True if a record is likely to get into the log now.
+bool job_desk::takes_records() const {
+  return this->log_answers() || (this->book != nullptr && this->writer.can_relay());
+}
+
+failure job_desk::failure_of(const write_outcome& outcome) {
+  if (outcome.refusal) {
+    return *outcome.refusal;
+  }
+  if (outcome.fate == write_fate::unknown) {
     return may_have_run(error_code::deadline_exceeded, "the log did not answer");
   }
   return not_run(error_code::unavailable, "the log takes no records");
@@ -59,7 +68,7 @@
     on_answer(BOOST_OUTCOME_V2_NAMESPACE::success());
     return;
   }
-  if (!this->log_answers()) {
+  if (!this->takes_records()) {
     this->metrics.count("jobs_refused");
     this->events.write(
         "job_not_accepted",
@@ -76,17 +85,17 @@
   submission.spec = std::move(spec);
   const instant since = this->time.now();
   this->writer.write(
-      {key_of(record_kind::submission, job), encode(submission)}, deadline,
-      [this, job, since, queue = from.queue->name, on_answer](write_fate fate) {
+      {{key_of(record_kind::submission, job), encode(submission)}, deadline, from.proof},
+      [this, job, since, queue = from.queue->name, on_answer](const write_outcome& outcome) {
         const millis taken = this->time.now() - since;
         this->metrics.observe("accept", taken);
-        if (fate == write_fate::stored) {
+        if (outcome.fate == write_fate::stored) {
           this->events.write("job_accepted",
                              {{"job", job.text}, {"queue", queue.text}, {"took_ms", taken.value}});
           on_answer(BOOST_OUTCOME_V2_NAMESPACE::success());
           return;
         }
-        const failure f = this->fate_failure(fate);
+        const failure f = failure_of(outcome);
         this->metrics.count(f.effect == verdict::not_run ? "jobs_refused" : "jobs_unknown");
         this->events.write("job_not_accepted", {{"job", job.text},
                                                 {"verdict", to_string(f.effect)},
@@ -107,7 +116,8 @@
   return std::optional<job_phase>();
 }
 
-void job_desk::cancel(const job_id& job, instant deadline, const reply<bool>& on_answer) {
+void job_desk::cancel(const caller& from, const job_id& job, instant deadline,
+                      const reply<bool>& on_answer) {
   const auto phase = this->phase_of(job);
   if (phase.has_error()) {
     on_answer(phase.error());
@@ -121,19 +131,20 @@
     on_answer(true);
     return;
   }
-  this->writer.write({key_of(record_kind::cancellation, job), std::string(1, '1')}, deadline,
-                     [this, job, on_answer](write_fate fate) {
-                       if (fate == write_fate::stored) {
-                         this->events.write("cancel_accepted", {{"job", job.text}});
-                         on_answer(true);
-                         return;
-                       }
-                       const failure f = this->fate_failure(fate);
-                       this->events.write("cancel_not_accepted", {{"job", job.text},
-                                                                  {"verdict", to_string(f.effect)},
-                                                                  {"why", f.detail}});
-                       on_answer(f);
-                     });
+  this->writer.write(
+      {{key_of(record_kind::cancellation, job), std::string(1, '1')}, deadline, from.proof},
+      [this, job, on_answer](const write_outcome& outcome) {
+        if (outcome.fate == write_fate::stored) {
+          this->events.write("cancel_accepted", {{"job", job.text}});
+          on_answer(true);
+          return;
+        }
+        const failure f = failure_of(outcome);
+        this->events.write(
+            "cancel_not_accepted",
+            {{"job", job.text}, {"verdict", to_string(f.effect)}, {"why", f.detail}});
+        on_answer(f);
+      });
 }
 
 result<std::int64_t> job_desk::pending(const caller& from) const {
--- a/src/cell/job_desk.h
+++ b/src/cell/job_desk.h
@@ -8,7 +8,7 @@
 #include "async/event_log.h"
 #include "base/clock.h"
 #include "base/failure.h"
-#include "cell/submission_writer.h"
+#include "cell/record_writer.h"
 #include "decide/job_book.h"
 #include "model/cell_config.h"
 
@@ -17,7 +17,8 @@
 // A caller's queue and who the caller is.
 struct caller {
   const queue_config* queue = nullptr;
-  team_id tenant;  // Empty on open queues.
+  team_id tenant;      // Empty on open queues.
+  caller_proof proof;  // How it was addressed.
 };
 
 struct desk_options {
@@ -33,7 +34,7 @@
 // when its record is in the log, so a repeat at another daemon is the same job.
 class job_desk {
  public:
-  job_desk(submission_writer& writer, const clock& time, event_log& events, counters& metrics,
+  job_desk(record_writer& writer, const clock& time, event_log& events, counters& metrics,
            const desk_options& options = {});
 
   void configure(cell_config config);
@@ -51,15 +52,17 @@
   // Nothing if there is no such job.
   result<std::optional<job_phase>> phase_of(const job_id& job) const;
   // False if there is no such job.
-  void cancel(const job_id& job, instant deadline, const reply<bool>& on_answer);
+  void cancel(const caller& from, const job_id& job, instant deadline,
+              const reply<bool>& on_answer);
   result<std::int64_t> pending(const caller& from) const;
 
  private:
   bool book_is_fresh() const;
   bool log_answers() const;
-  failure fate_failure(write_fate fate) const;
+  bool takes_records() const;
+  static failure failure_of(const write_outcome& outcome);
 
-  submission_writer& writer;
+  record_writer& writer;
   const clock& time;
   event_log& events;
   counters& metrics;
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -77,11 +77,16 @@
   void cancelled(const job_id& job);
   void runner_listed(const runner_entry& entry);
   void runner_unlisted(const std::string& id);
+  // Writes a caller's record with its own, then calls `on_stored`; never, if the
+  // epoch is over first.
+  void store(keyed_record record, std::function<void()> on_stored) {
+    this->writer.append(std::move(record), std::move(on_stored));
+  }
   // A peer is there and can be asked for advice.
   void heard(const std::string& daemon, const peer_address& from);
   void advice_answered(const advice_answer_message& answer);
   // True while what it writes gets into the log.
-  bool writes() const { return this->writer.stalled_for() <= this->options.writer_stall; }
+  bool writes() const { return this->writer.flows(); }
 
  private:
   void runner_admitted(const std::string& runner, std::int64_t born) override;
--- /dev/null
+++ b/src/cell/owner_relay.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/clock.h"
+#include "cell/peer_message.h"
+#include "cell/peer_port.h"
+#include "cell/record_writer.h"
+#include "cell/timer.h"
+
+namespace monsoonmux::cell {
+
+struct relay_options {
+  // Beats come every 100 ms; an owner that was not heard for longer is not asked.
+  millis beat_age{300};
+  millis resend{100};  // The request or its answer may have been lost.
+  millis tick{50};
+};
+
+// This daemon's own owner.
+class local_owner {
+ public:
+  virtual ~local_owner() = default;
+  // True while this daemon is the owner and what it writes gets into the log.
+  virtual bool can_store() const = 0;
+  virtual void store(keyed_record record, std::function<void()> on_stored) = 0;
+};
+
+// Has the owner write callers' records, together with its own: one append carries
+// the jobs of all daemons, the owner knows of them at once, and a daemon that is cut
+// off from the log still takes jobs. Without an owner that beats, the daemon writes
+// them itself.
+//
+// A request may be repeated, since its record's key makes it idempotent. Once it was
+// sent to an owner, nobody can say any more that the record will not be stored, so
+// then a failure of the own append is an unknown fate.
+class owner_relay final : public record_writer {
+ public:
+  owner_relay(event_loop& io, peer_port& link, record_writer& own, const clock& time,
+              daemon_id self, local_owner& local, const relay_options& options = {});
+  ~owner_relay() override;
+  owner_relay(const owner_relay&) = delete;
+  owner_relay& operator=(const owner_relay&) = delete;
+
+  void write(write_request request, on_outcome done) override;
+  bool can_relay() const override;
+  // The owner of this epoch is alive and reaches the log.
+  void beat(epoch of, const peer_address& from);
+  void answered(const store_answer_message& answer);
+
+ private:
+  struct entry {
+    write_request request;
+    on_outcome done;
+    epoch sent_to{0};  // 0: to this daemon's own owner.
+    instant sent_at{0};
+  };
+
+  void send(std::int64_t number, entry& e);
+  void tick();
+  bool lost_owner(const entry& e) const;
+  void write_here(entry e);
+  void settle(std::int64_t number, const write_outcome& outcome);
+
+  peer_port& link;
+  record_writer& own;
+  const clock& time;
+  const daemon_id self;
+  local_owner& local;
+  const relay_options options;
+  timer ticker;
+  std::map<std::int64_t, entry> open;
+  std::int64_t next_number = 1;
+  epoch owner_epoch{0};
+  peer_address owner;
+  instant last_beat{0};
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace monsoonmux::cell
--- a/src/cell/peer_message.h
+++ b/src/cell/peer_message.h
@@ -9,7 +9,9 @@
 #include <variant>
 #include <vector>
 
+#include "base/failure.h"
 #include "base/ids.h"
+#include "base/quantity.h"
 #include "model/cell_record.h"
 
 // What daemons say to each other, one message per datagram. All of it may be lost,
@@ -96,8 +98,38 @@
   }
 };
 
-using peer_body =
-    std::variant<hello_message, advice_request_message, advice_answer_message, owner_beat_message>;
+// To the owner: write this record of a caller, whom the sender has let in.
+struct store_request_message {
+  std::int64_t request = 0;  // Of the sender; a repeat has the same.
+  std::string record_key;
+  std::string record_value;
+  std::string host;
+  std::string path;
+  std::string caller_key;
+  config_version version;  // Of the configuration under which the caller was let in.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->request, this->record_key, this->record_value, this->host, this->path,
+            this->caller_key, this->version);
+  }
+};
+
+// From the owner: the record is in the log, or was not and never will be written.
+struct store_answer_message {
+  std::int64_t request = 0;
+  bool stored = false;
+  error_code code = error_code::unavailable;  // Why it was not.
+  std::string detail;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->request, this->stored, this->code, this->detail);
+  }
+};
+
+using peer_body = std::variant<hello_message, advice_request_message, advice_answer_message,
+                               owner_beat_message, store_request_message, store_answer_message>;
 
 struct peer_message {
   std::string sender;
--- a/src/cell/progress_writer.cc
+++ b/src/cell/progress_writer.cc
@@ -4,6 +4,9 @@
 
 #include "cell/progress_writer.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace monsoonmux::cell {
 
 progress_writer::progress_writer(event_loop& loop, shared_log& target, const clock& now,
@@ -28,6 +31,12 @@
   return this->in_flight ? this->time.now() - this->begun : millis{0};
 }
 
+bool progress_writer::flows() const {
+  constexpr std::int32_t refusals_that_count = 2;
+  return this->refusals < refusals_that_count &&
+         this->stalled_for() <= this->usual * 2 + this->options.stall_margin;
+}
+
 void progress_writer::fence(const std::function<void(std::int64_t)>& on_done) {
   append_request request;
   request.topic = work_topic;
@@ -58,6 +67,15 @@
   if (on_stored) {
     this->followers.push_back(std::move(on_stored));
   }
+  this->post_flush();
+}
+
+void progress_writer::append(keyed_record record, std::function<void()> on_stored) {
+  this->extras.push_back({std::move(record), std::move(on_stored)});
+  this->post_flush();
+}
+
+void progress_writer::post_flush() {
   if (this->flush_posted) {
     return;
   }
@@ -72,12 +90,36 @@
 }
 
 void progress_writer::flush() {
-  if (this->in_flight || this->over || this->dirty.empty()) {
+  if (this->in_flight || this->over || (this->dirty.empty() && this->extras.empty())) {
     return;
   }
   this->current = {};
   this->current.sequence = this->next_sequence;
+  this->take_dirty(this->take_extras());
+  if (this->current.records.empty()) {
+    for (const auto& follower : this->current.on_stored) {
+      this->io.post(follower);
+    }
+    return;
+  }
+  this->in_flight = true;
+  this->begun = this->time.now();
+  this->send();
+}
+
+std::size_t progress_writer::take_extras() {
   std::size_t bytes = 0;
+  while (!this->extras.empty() && bytes < this->options.bytes_per_append) {
+    extra_record& extra = this->extras.front();
+    bytes += extra.record.value.size();
+    this->current.records.push_back(std::move(extra.record));
+    this->current.on_stored.push_back(std::move(extra.on_stored));
+    this->extras.pop_front();
+  }
+  return bytes;
+}
+
+void progress_writer::take_dirty(std::size_t bytes) {
   while (!this->dirty.empty() && bytes < this->options.bytes_per_append) {
     const job_id job = *this->dirty.begin();
     this->dirty.erase(this->dirty.begin());
@@ -89,17 +131,10 @@
     this->current.records.push_back(std::move(record));
   }
   if (this->dirty.empty()) {
-    this->current.on_stored.swap(this->followers);
-  }
-  if (this->current.records.empty()) {
-    for (const auto& follower : this->current.on_stored) {
-      this->io.post(follower);
-    }
-    return;
+    std::move(this->followers.begin(), this->followers.end(),
+              std::back_inserter(this->current.on_stored));
+    this->followers.clear();
   }
-  this->in_flight = true;
-  this->begun = this->time.now();
-  this->send();
 }
 
 void progress_writer::send() {
@@ -114,8 +149,15 @@
   });
 }
 
+void progress_writer::note_duration() {
+  constexpr std::int64_t memory = 4;  // Appends; a log that turns slow is known soon.
+  this->usual += (this->stalled_for() - this->usual) / memory;
+  this->refusals = 0;
+}
+
 void progress_writer::answered(const append_answer& answer) {
   if (answer.status == append_status::done) {
+    this->note_duration();
     this->in_flight = false;
     this->next_sequence = this->current.sequence + 1;
     const auto stored = std::move(this->current.on_stored);
@@ -141,6 +183,7 @@
     this->on_fenced();
     return;
   }
+  this->refusals += answer.status == append_status::refused ? 1 : 0;
   if (answer.status == append_status::out_of_sequence) {
     this->events.write("append_out_of_sequence", {{"epoch", this->at.value},
                                                   {"sequence", this->current.sequence},
--- a/src/cell/progress_writer.h
+++ b/src/cell/progress_writer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <set>
@@ -16,6 +17,9 @@
 struct progress_writer_options {
   std::size_t bytes_per_append = 1 << 20;  // Well below what one call may carry.
   millis retry{60};
+  // An append that takes this much longer than twice the usual time is stalled: the
+  // log was fast until now, so it is away rather than slow.
+  millis stall_margin{250};
 };
 
 // Appends an owner's records under its epoch, in groups, one append at a time.
@@ -41,9 +45,13 @@
   void fence(const std::function<void(std::int64_t)>& on_done);
   // Writes the job's record soon, then calls `on_stored`.
   void write(const job_id& job, std::function<void()> on_stored = {});
+  // Appends another record, soon and once, then calls `on_stored`.
+  void append(keyed_record record, std::function<void()> on_stored);
   // How long the append under way has been without success; 0 if there is none.
   millis stalled_for() const;
-  bool idle() const { return !this->in_flight && this->dirty.empty(); }
+  // True while appends succeed in about their usual time.
+  bool flows() const;
+  bool idle() const { return !this->in_flight && this->dirty.empty() && this->extras.empty(); }
 
  private:
   struct batch {
@@ -52,9 +60,18 @@
     std::vector<std::function<void()>> on_stored;
   };
 
+  struct extra_record {
+    keyed_record record;
+    std::function<void()> on_stored;
+  };
+
+  void post_flush();
   void flush();
+  std::size_t take_extras();
+  void take_dirty(std::size_t bytes);
   void send();
   void answered(const append_answer& answer);
+  void note_duration();
 
   event_loop& io;
   shared_log& log;
@@ -67,10 +84,13 @@
   const progress_writer_options options;
   timer retry;
   std::set<job_id> dirty;
+  std::deque<extra_record> extras;
   std::vector<std::function<void()>> followers;
   batch current;
   bool in_flight = false;
-  instant begun{0};  // Of the append under way.
+  instant begun{0};           // Of the append under way.
+  millis usual{0};            // Of the last appends, from the first try to success.
+  std::int32_t refusals = 0;  // In a row.
   bool over = false;
   bool flush_posted = false;
   std::int64_t next_sequence = 1;
--- a/src/cell/submission_writer.cc
+++ b/src/cell/submission_writer.cc
@@ -12,9 +12,8 @@
   *this->alive = false;
 }
 
-void submission_writer::write(keyed_record record, instant deadline,
-                              std::function<void(write_fate)> on_fate) {
-  this->queue.push_back({std::move(record), deadline, std::move(on_fate)});
+void submission_writer::write(write_request request, on_outcome done) {
+  this->queue.push_back({std::move(request.record), request.deadline, std::move(done)});
   if (!this->in_flight && !this->retry.pending()) {
     this->flush();
   }
@@ -49,7 +48,7 @@
     this->queue.erase(this->queue.begin(),
                       this->queue.begin() + static_cast<std::ptrdiff_t>(count));
     for (entry& e : stored) {
-      e.on_fate(write_fate::stored);
+      e.done({write_fate::stored, {}});
     }
     this->flush();
     return;
@@ -75,7 +74,7 @@
     }
   }
   for (entry& e : over) {
-    e.on_fate(e.maybe_stored ? write_fate::unknown : write_fate::not_stored);
+    e.done({e.maybe_stored ? write_fate::unknown : write_fate::not_stored, {}});
   }
 }
 
--- a/src/cell/submission_writer.h
+++ b/src/cell/submission_writer.h
@@ -5,19 +5,13 @@
 #include <memory>
 
 #include "base/clock.h"
+#include "cell/record_writer.h"
 #include "cell/shared_log.h"
 #include "cell/timer.h"
 #include "cell/topics.h"
 
 namespace monsoonmux::cell {
 
-// What became of a record.
-enum class write_fate {
-  stored,
-  not_stored,  // And never will be.
-  unknown,
-};
-
 struct submission_writer_options {
   std::size_t records_per_append = 64;
   millis retry{80};  // Between two tries of the same records.
@@ -26,15 +20,16 @@
 // Appends callers' records in groups, one append at a time. A record is tried
 // until its deadline. It is not_stored only if no try of it was left without an
 // answer; its key makes a second append of it harmless.
-class submission_writer {
+class submission_writer final : public record_writer {
  public:
   submission_writer(event_loop& io, shared_log& log, const clock& time,
                     const submission_writer_options& options = {});
-  ~submission_writer();
+  ~submission_writer() override;
   submission_writer(const submission_writer&) = delete;
   submission_writer& operator=(const submission_writer&) = delete;
 
-  void write(keyed_record record, instant deadline, std::function<void(write_fate)> on_fate);
+  void write(write_request request, on_outcome done) override;
+  bool can_relay() const override { return false; }
   std::size_t waiting() const { return this->queue.size(); }
   // Refused or unanswered appends since the last one that was done.
   std::int64_t failed_appends() const { return this->failures; }
@@ -43,7 +38,7 @@
   struct entry {
     keyed_record record;
     instant deadline;
-    std::function<void(write_fate)> on_fate;
+    on_outcome done;
     bool maybe_stored = false;
   };
 
--- a/src/cell/testing/cell_test.cc
+++ b/src/cell/testing/cell_test.cc
@@ -102,10 +102,11 @@
   cell.submit(0, job_name(0), fake_cell::simple_job(8));
   cell.loop.run_for(millis{500});
   bool cancelled = false;
-  cell.nodes[1]->daemon->desk().cancel(job_id(job_name(0)), cell.loop.now() + millis{1'000},
-                                       [&cancelled](const result<bool>& answer) {
-                                         cancelled = answer.has_value() && answer.value();
-                                       });
+  job_desk& desk = cell.nodes[1]->daemon->desk();
+  desk.cancel(desk.identify("h", "/q/", "").value(), job_id(job_name(0)),
+              cell.loop.now() + millis{1'000}, [&cancelled](const result<bool>& answer) {
+                cancelled = answer.has_value() && answer.value();
+              });
   cell.loop.run_for(millis{1'000});
   CHECK(cancelled);
   const std::int64_t starts = cell.history.starts;
@@ -187,6 +188,55 @@
   CHECK(other.desk().phase_of(job_id(job_name(0))).value() == job_phase::completed);
 }
 
+TEST_CASE("A daemon that is cut off from the log takes jobs through the owner") {
+  fake_cell cell(3, 2, 14);
+  cell.loop.run_for(boot_time);
+  const int owner = owner_of(cell);
+  REQUIRE(owner >= 0);
+  const int other = (owner + 1) % 3;
+  cell.store.cut.insert(cell.nodes[static_cast<std::size_t>(other)]->name);
+  cell.loop.run_for(millis{3'000});
+  cell.submit(other, job_name(0), fake_cell::simple_job(2));
+  cell.loop.run_for(millis{100});
+  CHECK(cell.accepted.contains(job_name(0)));
+  CHECK(cell.history.starts == 2);
+  cell.loop.run_for(millis{1'500});
+  const auto phase =
+      cell.nodes[static_cast<std::size_t>(other)]->daemon->desk().phase_of(job_id(job_name(0)));
+  REQUIRE(phase.has_value());
+  CHECK(phase.value() == job_phase::completed);
+  check_history(cell);
+}
+
+TEST_CASE("A newer configuration at the owner judges a cut off daemon's callers again") {
+  fake_cell cell(2, 2, 15);
+  cell.config.queues[0].open = false;
+  cell.config.tenants.push_back({team_id("t"), {"old key"}, 1, {}});
+  cell.loop.run_for(boot_time);
+  const int owner = owner_of(cell);
+  REQUIRE(owner >= 0);
+  fake_cell::node& other = *cell.nodes[static_cast<std::size_t>(1 - owner)];
+  cell.store.cut.insert(other.name);
+  cell.config.version = config_version{2};
+  cell.config.tenants[0].keys = {"new key"};
+  cell.store.put("op", "config", "2");
+  cell.loop.run_for(millis{1'000});
+  const auto from = other.daemon->desk().identify("h", "/q/" + job_name(0), "old key");
+  REQUIRE(from.has_value());
+  std::optional<failure> refusal;
+  other.daemon->desk().submit(from.value(), job_id(job_name(0)), fake_cell::simple_job(1),
+                              cell.loop.now() + millis{1'000}, [&](const result<void>& answer) {
+                                if (answer.has_error()) {
+                                  refusal = answer.error();
+                                }
+                              });
+  cell.loop.run_for(millis{1'000});
+  REQUIRE(refusal.has_value());
+  CHECK(refusal->code == error_code::unauthorized);
+  CHECK(refusal->effect == verdict::not_run);
+  CHECK(cell.history.starts == 0);
+}
+
 TEST_CASE("A new owner does not take inherited runs for short ones") {
   // It sees only the last half second of the first job's tasks. If it took that for
   // their usual time, the second job's runs would soon look stalled, and their
