A stopped owner works on until its successor claims

The owner now asks for a successor and goes on until one has claimed; the fence keeps that exact. Daemons that have not read the log yet do not claim. Test: An owner that is stopped as planned works on until its successor can (red before: 0 of 2 starts in 0.7 s).

--- a/src/cell/cell_daemon.cc
+++ b/src/cell/cell_daemon.cc
@@ -37,7 +37,8 @@
                  {}}),
       claim(loop, given.log, now, out, complete(chosen.ownership, chosen),
             {[this](epoch at) { this->gained(at); },
-             [this](const std::string& why) { this->lost(why); }}),
+             [this](const std::string& why) { this->lost(why); },
+             [this] { return this->work_feed.loaded() && this->front.configured(); }}),
       hello(loop),
       beat_timer(loop),
       retire(loop) {}
@@ -61,11 +62,7 @@
 
 void cell_daemon::drain(std::function<void()> on_resigned) {
   this->draining = true;
-  const bool was_owner = this->claim.owner();
   this->claim.resign(std::move(on_resigned));
-  if (was_owner) {
-    this->lost("stopping");
-  }
 }
 
 void cell_daemon::config_record(const logged_record& record) {
@@ -254,7 +251,7 @@
 // True while peers may count on this owner: it gives orders and the log takes what it
 // writes. An owner that is cut off from the log falls silent, and is followed.
 bool cell_daemon::beats() const {
-  return this->owns() && !this->draining && this->orders->writes() &&
+  return this->owns() && this->orders->writes() &&
          this->claim.renewed_within(this->options.beat_renewal_age);
 }
 
--- a/src/cell/cell_daemon.h
+++ b/src/cell/cell_daemon.h
@@ -39,7 +39,7 @@
   // The owner tells its peers that it is alive only if its claim was renewed this
   // lately.
   millis beat_renewal_age{1'500};
-  millis owner_book_interval{8};
+  millis owner_book_interval{100};
 };
 
 // What a daemon gets from the platform.
--- a/src/cell/ownership.cc
+++ b/src/cell/ownership.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <random>
+#include <utility>
 
 namespace monsoonmux::cell {
 namespace {
@@ -80,6 +81,9 @@
     this->is_owner = false;
     this->heard = this->time.now();
     this->on.on_lost(why);
+    if (this->on_succeeded) {
+      std::exchange(this->on_succeeded, {})();
+    }
   }
 }
 
@@ -90,7 +94,13 @@
     // Silence counts only while the log would show a renewal.
     this->heard = now;
   }
-  if (this->in_flight || !this->follower.loaded() || this->stopping) {
+  if (this->in_flight || !this->follower.loaded()) {
+    return;
+  }
+  if (this->stopping) {
+    if (this->is_owner && !this->claim->resigned) {
+      this->ask_for_successor();
+    }
     return;
   }
   if (this->is_owner) {
@@ -99,7 +109,7 @@
     }
     return;
   }
-  if (now - this->heard >= this->claim_delay()) {
+  if (now - this->heard >= this->claim_delay() && this->on.may_claim()) {
     this->claim_next();
   }
 }
@@ -183,10 +193,21 @@
     on_done();
     return;
   }
-  this->is_owner = false;
+  this->on_succeeded = std::move(on_done);
+  this->tick();
+}
+
+void ownership::ask_for_successor() {
   owner_claim next = *this->claim;
   next.resigned = true;
-  this->append_claim(next, [on_done = std::move(on_done)](const append_answer&) { on_done(); });
+  this->append_claim(next, [this, next, sent = this->time.now()](const append_answer& answer) {
+    if (answer.status == append_status::done && this->is_owner) {
+      this->claim = next;
+      this->end = std::max(this->end, answer.end);
+      this->renewed = sent;
+    }
+    // Otherwise the next tick tries again, if the topic shows no successor.
+  });
 }
 
 }  // namespace monsoonmux::cell
--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -44,6 +44,9 @@
   struct handlers {
     std::function<void(epoch)> on_gained;
     std::function<void(const std::string& why)> on_lost;
+    // True if this daemon could take over at once. One that has just started has the
+    // log to read first; another is better then.
+    std::function<bool()> may_claim;
   };
 
   ownership(event_loop& io, shared_log& log, const clock& time, event_log& events,
@@ -69,7 +72,8 @@
   }
   // The newest claim; nothing if there was none yet.
   const std::optional<owner_claim>& newest() const { return this->claim; }
-  // Gives the claim up, so that another daemon claims at once.
+  // Asks for a successor, and goes on as the owner until there is one; `on_done` is
+  // called then.
   void resign(std::function<void()> on_done);
   // The epoch is known to be over, from another source than the topic.
   void lose(const std::string& why);
@@ -78,6 +82,7 @@
   void on_record(const logged_record& record);
   void tick();
   void renew();
+  void ask_for_successor();
   void claim_next();
   void append_claim(const owner_claim& next, std::function<void(const append_answer&)> on_answer);
   millis claim_delay() const;
@@ -92,8 +97,9 @@
   timer ticker;
   std::optional<owner_claim> claim;
   std::int64_t end = 0;
-  instant heard{0};      // When the topic last showed the owner alive.
-  instant last_beat{0};  // When it last said so itself.
+  std::function<void()> on_succeeded;  // Of a resignation.
+  instant heard{0};                    // When the topic last showed the owner alive.
+  instant last_beat{0};                // When it last said so itself.
   instant former_until{0};
   instant renewed{0};
   instant renewal_sent{0};
--- a/src/cell/progress_writer.cc
+++ b/src/cell/progress_writer.cc
@@ -33,7 +33,7 @@
 
 bool progress_writer::flows() const {
   constexpr std::int32_t refusals_that_count = 2;
-  return this->refusals < refusals_that_count &&
+  return !this->over && this->refusals < refusals_that_count &&
          this->stalled_for() <= this->usual * 2 + this->options.stall_margin;
 }
 
--- a/src/cell/testing/cell_test.cc
+++ b/src/cell/testing/cell_test.cc
@@ -162,6 +162,29 @@
   check_history(cell);
 }
 
+TEST_CASE("An owner that is stopped as planned works on until its successor can") {
+  fake_cell cell(3, 2, 16);
+  cell.loop.run_for(boot_time);
+  const int former = owner_of(cell);
+  REQUIRE(former >= 0);
+  cell.store.latency = millis{100};
+  cell.loop.run_for(millis{1'000});
+  bool resigned = false;
+  cell.nodes[static_cast<std::size_t>(former)]->daemon->drain([&resigned] { resigned = true; });
+  cell.submit((former + 1) % 3, job_name(0), fake_cell::simple_job(2));
+  cell.loop.run_for(millis{700});
+  CHECK(cell.history.starts == 2);
+  cell.loop.run_for(millis{2'000});
+  CHECK(resigned);
+  const int next = owner_of(cell);
+  CHECK(next >= 0);
+  CHECK(next != former);
+  cell.nodes[static_cast<std::size_t>(former)]->kill();
+  cell.loop.run_for(millis{4'000});
+  CHECK(cell.phase(job_name(0)) == job_phase::completed);
+  check_history(cell);
+}
+
 TEST_CASE("An owner whose beats are lost keeps its claim") {
   fake_cell cell(3, 2, 12);
   cell.loop.run_for(boot_time);
--- a/src/cell/testing/fake_store.h
+++ b/src/cell/testing/fake_store.h
@@ -18,6 +18,7 @@
  public:
   fake_store(fake_loop& loop, std::uint32_t seed) : loop(loop), random(seed) {}
 
+  millis latency{2};          // One way.
   bool down = false;          // Nobody gets an answer, nothing is done.
   double lost_answers = 0;    // Part of the appends that are done and not answered.
   double late_appends = 0;    // Part of the appends that are done seconds later, unanswered.
@@ -79,7 +80,6 @@
   }
 
  private:
-  static constexpr millis latency{2};
   static constexpr millis append_timeout{1'000};
 
   struct topic_state {
@@ -108,13 +108,13 @@
       if (this->down || this->cut.contains(from) || process.current_life() != life) {
         return;
       }
-      process.after(latency, [open, on_answer, value] {
+      process.after(this->latency, [open, on_answer, value] {
         if (std::exchange(*open, false)) {
           on_answer(value);
         }
       });
     };
-    this->loop.after(latency, [this, from, serve, answer] {
+    this->loop.after(this->latency, [this, from, serve, answer] {
       if (!this->down && !this->cut.contains(from)) {
         serve(answer);
       }
