A declared time is used where it tells more than the queue's mean

Cause: once any task of a queue had ended, its mean replaced what jobs declare. On the inspection queues declarations are within 20%, while tasks differ by a factor of ten, so the mean told nothing of one job: lateness, claims and what may be stopped rested on it. The book now keeps, for each queue, the error of its mean and of the declared time times the usual factor, and uses the better. Runs that resumed or were inherited teach nothing. Test: A declared time is used where it tells more than the mean.

--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -237,7 +237,8 @@
   }
   live_job& job = it->second;
   const live_task* const task = job.find(run.task);
-  const bool inherited = task != nullptr && task->inherited;
+  // A run of which only a part was seen tells nothing of how long the task takes.
+  const bool seen_whole = task != nullptr && !task->inherited && !task->resumed;
   const instant placed_at = task != nullptr ? task->placed_at : instant{0};
   const end_effect effect = job.finish(run.task, run.run, how, checkpoint);
   if (!effect.counted) {
@@ -248,8 +249,9 @@
     this->state.runners.note_end(runner, how == run_end::failed, this->services.time.now());
   }
   if (how == run_end::done) {
-    if (!inherited) {
-      this->state.run_times.note(job.submission().queue, runner,
+    if (seen_whole) {
+      const step_spec& shape = job.spec().steps[static_cast<std::size_t>(run.task.in.step)];
+      this->state.run_times.note(job.submission().queue, runner, shape.estimate,
                                  this->services.time.now() - placed_at);
     }
   } else {
--- a/src/decide/live_job.cc
+++ b/src/decide/live_job.cc
@@ -146,6 +146,7 @@
   t.runner_born = runner_born;
   t.placed_at = now;
   t.inherited = false;
+  t.resumed = !this->checkpoint_of(task).empty();
   if (this->state == job_phase::queued) {
     this->state = job_phase::running;
   }
--- a/src/decide/live_job.h
+++ b/src/decide/live_job.h
@@ -27,6 +27,7 @@
   instant placed_at;           // Or when the present owner took it over.
   // Placed by a former owner; nobody knows how long it has been running.
   bool inherited = false;
+  bool resumed = false;  // Its run began with the progress of an earlier one.
 };
 
 struct live_step {
--- a/src/decide/run_time_book.cc
+++ b/src/decide/run_time_book.cc
@@ -18,17 +18,32 @@
 
 }  // namespace
 
-void run_time_book::note(const queue_id& queue, const std::string& runner, millis taken) {
+double run_time_book::guess(const queue_times& seen, millis declared) {
+  const bool scaled = declared.value > 0 && seen.scaled_error < seen.mean_error;
+  return scaled ? static_cast<double>(declared.value) * seen.scale : seen.mean_ms;
+}
+
+void run_time_book::note(const queue_id& queue, const std::string& runner, millis declared,
+                         millis taken) {
   const auto value = static_cast<double>(taken.value);
+  const auto promised = static_cast<double>(std::max<std::int64_t>(declared.value, 1));
   ++this->noted;
   queue_times& seen = this->by_queue[queue];
   seen.queue = queue;
-  if (seen.count >= enough_samples && seen.mean_ms > 0) {
-    const double ratio = std::clamp(value / seen.mean_ms, least_ratio, most_ratio);
+  const double expected = guess(seen, declared);
+  if (seen.count >= enough_samples && expected > 0) {
+    const double ratio = std::clamp(value / expected, least_ratio, most_ratio);
     double& slowness = this->slowness_by_runner.try_emplace(runner, 1.0).first->second;
     slowness += newest_runner_weight * (ratio - slowness);
   }
-  seen.mean_ms = seen.count == 0 ? value : seen.mean_ms + newest_weight * (value - seen.mean_ms);
+  // The first samples count alike, so that none of them stays in the mean for long.
+  const double weight = std::max(newest_weight, 1.0 / static_cast<double>(seen.count + 1));
+  if (seen.count > 0) {
+    seen.mean_error += weight * (std::abs(value - seen.mean_ms) - seen.mean_error);
+    seen.scaled_error += weight * (std::abs(value - promised * seen.scale) - seen.scaled_error);
+  }
+  seen.mean_ms += weight * (value - seen.mean_ms);
+  seen.scale += weight * (value / promised - seen.scale);
   ++seen.count;
 }
 
@@ -39,7 +54,7 @@
 
 millis run_time_book::expected(const queue_id& queue, millis declared) const {
   const auto it = this->by_queue.find(queue);
-  return it == this->by_queue.end() ? declared : millis{std::llround(it->second.mean_ms)};
+  return it == this->by_queue.end() ? declared : millis{std::llround(guess(it->second, declared))};
 }
 
 bool run_time_book::learned(const queue_id& queue) const {
--- a/src/decide/run_time_book.h
+++ b/src/decide/run_time_book.h
@@ -10,16 +10,17 @@
 namespace monsoonmux::cell {
 
 // How long tasks of a queue really take, and which runners are slow at them. What
-// submitters declare is far off, so the mean of what was seen is used as soon as
-// there is any.
+// submitters declare is far off on some queues and close on others: once tasks have
+// ended, the queue's mean or the declared time times the usual factor is used,
+// whichever was nearer so far.
 class run_time_book {
  public:
-  void note(const queue_id& queue, const std::string& runner, millis taken);
+  void note(const queue_id& queue, const std::string& runner, millis declared, millis taken);
   // Time of a runner's tasks over the mean of their queues; 1 if nothing is known.
   double slowness(const std::string& runner) const;
-  // Mean of the queue's tasks; `declared` while none has ended.
+  // The best guess of a task's time; `declared` while no task of the queue has ended.
   millis expected(const queue_id& queue, millis declared) const;
-  // True if enough tasks of the queue have ended for their mean to be relied on.
+  // True if enough tasks of the queue have ended for the guess to be relied on.
   bool learned(const queue_id& queue) const;
 
   // All of it, for a successor; and back. What is restored replaces what is there.
@@ -29,6 +30,8 @@
   std::int64_t version() const { return this->noted; }
 
  private:
+  static double guess(const queue_times& seen, millis declared);
+
   std::unordered_map<queue_id, queue_times> by_queue;
   std::int64_t noted = 0;
   std::unordered_map<std::string, double> slowness_by_runner;
--- a/src/decide/testing/load_player.h
+++ b/src/decide/testing/load_player.h
@@ -138,7 +138,7 @@
       this->jobs.at(task.in.job.text).progress[task] += run.ends - run.began;
     }
     if (!run.stopping) {
-      this->cell.state.run_times.note(job.submission().queue, run.start.runner,
+      this->cell.state.run_times.note(job.submission().queue, run.start.runner, shape.estimate,
                                       this->cell.now - run.began);
     }
     const end_effect effect =
--- a/src/decide/testing/runner_book_test.cc
+++ b/src/decide/testing/runner_book_test.cc
@@ -81,7 +81,7 @@
 
   // The same runs, once the usual time is known.
   for (int i = 0; i < 20; ++i) {
-    cell.state.run_times.note(queue_id("q"), "other", millis{1'000});
+    cell.state.run_times.note(queue_id("q"), "other", millis{1'000}, millis{1'000});
   }
   for (std::int32_t i = 0; i < 3; ++i) {
     cell.state.runners.remove("a", {{step, i}, 1});
@@ -96,8 +96,8 @@
   const queue_id quick("quick");
   const queue_id slow("slow");
   for (int i = 0; i < 60; ++i) {
-    times.note(quick, i % 3 == 0 ? "lame" : "sound", millis{i % 3 == 0 ? 200 : 100});
-    times.note(slow, "sound", millis{5'000});
+    times.note(quick, i % 3 == 0 ? "lame" : "sound", millis{1}, millis{i % 3 == 0 ? 200 : 100});
+    times.note(slow, "sound", millis{1}, millis{5'000});
   }
   CHECK(times.slowness("lame") > 1.3);
   CHECK(times.slowness("sound") < 1.1);
@@ -106,5 +106,21 @@
   CHECK(times.expected(queue_id("new"), millis{7}) == millis{7});
 }
 
+TEST_CASE("A declared time is used where it tells more than the mean") {
+  run_time_book times;
+  const queue_id honest("honest");
+  const queue_id careless("careless");
+  for (int i = 1; i <= 40; ++i) {
+    // Half of what it takes, but always so.
+    const millis declared{500 + 100 * (i % 10)};
+    times.note(honest, "a", declared, declared * 2);
+    // Anything between a tenth of it and ten times as much.
+    times.note(careless, "a", millis{i % 2 == 0 ? 100 : 10'000}, millis{900 + 10 * (i % 10)});
+  }
+  CHECK(times.expected(honest, millis{3'000}) == millis{6'000});
+  CHECK(times.expected(careless, millis{10'000}).value < 1'100);
+  CHECK(times.expected(careless, millis{100}).value > 800);
+}
+
 }  // namespace
 }  // namespace monsoonmux::cell
--- a/src/model/cell_record.h
+++ b/src/model/cell_record.h
@@ -93,11 +93,15 @@
 struct queue_times {
   queue_id queue;
   double mean_ms = 0;
-  std::int64_t count = 0;  // Of the tasks that the mean is made from.
+  double scale = 1;         // Mean of the time taken over the time declared.
+  double mean_error = 0;    // Mean distance of the time taken from `mean_ms`, in ms.
+  double scaled_error = 0;  // The same from the declared time times `scale`.
+  std::int64_t count = 0;   // Of the tasks that these are made from.
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->queue, this->mean_ms, this->count);
+    archive(this->queue, this->mean_ms, this->scale, this->mean_error, this->scaled_error,
+            this->count);
   }
 };
 
