--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -16,8 +16,12 @@
 // task has just failed outweighs both.
 constexpr double far_penalty = 10;
 constexpr double failed_here_penalty = 100;
-// A runner that takes twice as long is taken after any emptier, faster one.
-constexpr double slowness_weight = 1;
+// For work with little slack a runner that takes a third longer is taken after any
+// faster one, however full that is; work with much slack leaves the fast ones free.
+constexpr double hurried_slowness_weight = 3;
+constexpr double relaxed_slowness_weight = 0.5;
+// Work is relaxed if it has so many times its usual duration left.
+constexpr std::int64_t relaxed_slack = 3;
 // A renewal of tickets is asked for this much before it is needed.
 constexpr millis renewal_margin{100};
 
@@ -464,7 +468,9 @@
   if (task.last_failed_on == runner.entry.id) {
     score += failed_here_penalty;
   }
-  score += slowness_weight * this->state.run_times.slowness(runner.entry.id);
+  const bool relaxed = step.order.slack > this->expected_time(step) * relaxed_slack;
+  score += (relaxed ? relaxed_slowness_weight : hurried_slowness_weight) *
+           this->state.run_times.slowness(runner.entry.id);
   if (step.shape->need.accelerators.value > 0) {
     return score + free_fraction(room.accelerators.value, runner.entry.capacity.accelerators.value);
   }
