--- a/src/cell/beat_sender.cc
+++ b/src/cell/beat_sender.cc
@@ -13,7 +13,7 @@
 }
 
 void beat_sender::heard_of(const known_peer& p) {
-  if (p.daemon != this->self.text && !this->peers.contains(p.daemon)) {
+  if (p.daemon != this->self.text) {
     this->peers[p.daemon] = {{p.host, p.port}, this->time.now()};
   }
 }
--- a/src/cell/beat_sender.h
+++ b/src/cell/beat_sender.h
@@ -31,7 +31,7 @@
 
   // A peer was heard itself.
   void heard(const std::string& daemon, const peer_address& address);
-  // Another daemon says that the peer is there.
+  // The owner says that it heard the peer lately.
   void heard_of(const known_peer& peer);
   // To be told with the next beat.
   void note(const job_id& job, job_phase phase);
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -46,59 +46,6 @@
   this->writer.fence(on_fenced);
 }
 
-void owner::take_over(const job_book& book, const cell_config& config) {
-  this->state.config = config;
-  this->is_active = true;
-  if (book.run_times()) {
-    this->state.run_times.restore(*book.run_times());
-  }
-  for (const auto& [id, record] : book.jobs()) {
-    this->adopt(record);
-  }
-  this->services.events.write("took_over",
-                              {{"epoch", this->at.value}, {"open_jobs", this->state.jobs.size()}});
-  this->tick();
-}
-
-void owner::adopt(const job_record& record) {
-  if (!record.submission || record.settled() || record.submission->spec.steps.empty()) {
-    return;
-  }
-  const job_id id = record.submission->job;
-  live_job job(*record.submission, record.progress, this->attempts_of(*record.submission),
-               this->services.time.now());
-  live_job& kept = this->state.jobs.emplace(id, std::move(job)).first->second;
-  for (auto& [number, occurrence] : kept.occurrences()) {
-    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
-      for (std::size_t t = 0; t < occurrence.steps[s].tasks.size(); ++t) {
-        const task_ref task{{id, number, static_cast<std::int32_t>(s)},
-                            static_cast<std::int32_t>(t)};
-        this->adopt_run(kept, task, occurrence.steps[s].tasks[t]);
-      }
-    }
-  }
-  if (record.cancelled && !is_final(kept.phase())) {
-    kept.cancel();
-    this->writer.write(id);
-  }
-  if (is_final(kept.phase())) {
-    this->stop_runs(kept);
-    this->forget_if_over(id);
-  }
-}
-
-void owner::adopt_run(live_job& job, const task_ref& task, const live_task& t) {
-  if (t.phase != task_phase::placed) {
-    return;
-  }
-  const step_spec& shape = job.spec().steps[static_cast<std::size_t>(task.in.step)];
-  const team_id& tenant = job.submission().tenant;
-  this->state.runners.add(t.runner,
-                          resident_of(this->state, job, task, t.run, this->services.time.now()));
-  this->state.tenants.add(tenant, shape.need);
-  this->session_of(t.runner).recover({task, t.run});
-}
-
 std::int32_t owner::attempts_of(const job_submission& submission) const {
   const queue_config* const queue = this->state.config.find_queue(submission.queue);
   return queue != nullptr ? queue->max_attempts : 1;
@@ -385,58 +332,6 @@
   this->writer.write(run_times_id);
 }
 
-void owner::report_load() {
-  const instant now = this->services.time.now();
-  if (now - this->load_reported < this->options.load_report) {
-    return;
-  }
-  this->load_reported = now;
-  std::map<std::string, std::pair<resources, resources>> by_service;
-  std::int64_t taking = 0;
-  for (const auto& [id, runner] : this->state.runners.all()) {
-    auto& [used, capacity] = by_service[runner.entry.service.text];
-    used += runner.used;
-    if (runner.takes_work(now)) {
-      capacity += runner.entry.capacity;
-      ++taking;
-    }
-  }
-  nlohmann::ordered_json services_load;
-  for (const auto& [service, load] : by_service) {
-    const auto& [used, capacity] = load;
-    services_load[service] = {{"cpu_used", used.cpu.value},
-                              {"cpu", capacity.cpu.value},
-                              {"gpu_used", used.accelerators.value},
-                              {"gpu", capacity.accelerators.value}};
-  }
-  this->services.events.write("cell_load", {{"epoch", this->at.value},
-                                            {"open_jobs", this->state.jobs.size()},
-                                            {"waiting_tasks", this->waiting_tasks},
-                                            {"runners_taking_work", taking},
-                                            {"wishes_without_daemon", this->unanswered_wishes},
-                                            {"plan_ms", this->plan_took.value},
-                                            {"services", services_load}});
-}
-
-void owner::report_waiting(const std::vector<waiting_reason>& reasons) {
-  const instant now = this->services.time.now();
-  if (now - this->waiting_reported < this->options.load_report) {
-    return;
-  }
-  this->waiting_reported = now;
-  for (const waiting_reason& why : reasons) {
-    this->services.events.write("step_waits", {{"step", why.step.text()},
-                                               {"tasks", why.tasks},
-                                               {"given_up", why.given_up},
-                                               {"takes_no_work", why.takes_no_work},
-                                               {"claimed", why.claimed},
-                                               {"no_room", why.no_room},
-                                               {"not_permitted", why.not_permitted},
-                                               {"not_good", why.not_good},
-                                               {"no_ticket", why.no_ticket}});
-  }
-}
-
 void owner::request_plan() {
   if (!this->is_active || this->plan_timer.pending()) {
     return;
--- /dev/null
+++ b/src/cell/owner_reports.cc
@@ -0,0 +1,60 @@
+// What an owner tells of its load each second: how full the cell is, and why the most
+// urgent steps wait.
+
+#include "cell/owner.h"
+
+namespace monsoonmux::cell {
+
+void owner::report_load() {
+  const instant now = this->services.time.now();
+  if (now - this->load_reported < this->options.load_report) {
+    return;
+  }
+  this->load_reported = now;
+  std::map<std::string, std::pair<resources, resources>> by_service;
+  std::int64_t taking = 0;
+  for (const auto& [id, runner] : this->state.runners.all()) {
+    auto& [used, capacity] = by_service[runner.entry.service.text];
+    used += runner.used;
+    if (runner.takes_work(now)) {
+      capacity += runner.entry.capacity;
+      ++taking;
+    }
+  }
+  nlohmann::ordered_json services_load;
+  for (const auto& [service, load] : by_service) {
+    const auto& [used, capacity] = load;
+    services_load[service] = {{"cpu_used", used.cpu.value},
+                              {"cpu", capacity.cpu.value},
+                              {"gpu_used", used.accelerators.value},
+                              {"gpu", capacity.accelerators.value}};
+  }
+  this->services.events.write("cell_load", {{"epoch", this->at.value},
+                                            {"open_jobs", this->state.jobs.size()},
+                                            {"waiting_tasks", this->waiting_tasks},
+                                            {"runners_taking_work", taking},
+                                            {"wishes_without_daemon", this->unanswered_wishes},
+                                            {"plan_ms", this->plan_took.value},
+                                            {"services", services_load}});
+}
+
+void owner::report_waiting(const std::vector<waiting_reason>& reasons) {
+  const instant now = this->services.time.now();
+  if (now - this->waiting_reported < this->options.load_report) {
+    return;
+  }
+  this->waiting_reported = now;
+  for (const waiting_reason& why : reasons) {
+    this->services.events.write("step_waits", {{"step", why.step.text()},
+                                               {"tasks", why.tasks},
+                                               {"given_up", why.given_up},
+                                               {"takes_no_work", why.takes_no_work},
+                                               {"claimed", why.claimed},
+                                               {"no_room", why.no_room},
+                                               {"not_permitted", why.not_permitted},
+                                               {"not_good", why.not_good},
+                                               {"no_ticket", why.no_ticket}});
+  }
+}
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/owner_takeover.cc
@@ -0,0 +1,61 @@
+// What a new owner makes of the log: every open job, every run that a former owner may
+// have started, and what that one had learned of run times.
+
+#include "cell/owner.h"
+
+namespace monsoonmux::cell {
+
+void owner::take_over(const job_book& book, const cell_config& config) {
+  this->state.config = config;
+  this->is_active = true;
+  if (book.run_times()) {
+    this->state.run_times.restore(*book.run_times());
+  }
+  for (const auto& [id, record] : book.jobs()) {
+    this->adopt(record);
+  }
+  this->services.events.write("took_over",
+                              {{"epoch", this->at.value}, {"open_jobs", this->state.jobs.size()}});
+  this->tick();
+}
+
+void owner::adopt(const job_record& record) {
+  if (!record.submission || record.settled() || record.submission->spec.steps.empty()) {
+    return;
+  }
+  const job_id id = record.submission->job;
+  live_job job(*record.submission, record.progress, this->attempts_of(*record.submission),
+               this->services.time.now());
+  live_job& kept = this->state.jobs.emplace(id, std::move(job)).first->second;
+  for (auto& [number, occurrence] : kept.occurrences()) {
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      for (std::size_t t = 0; t < occurrence.steps[s].tasks.size(); ++t) {
+        const task_ref task{{id, number, static_cast<std::int32_t>(s)},
+                            static_cast<std::int32_t>(t)};
+        this->adopt_run(kept, task, occurrence.steps[s].tasks[t]);
+      }
+    }
+  }
+  if (record.cancelled && !is_final(kept.phase())) {
+    kept.cancel();
+    this->writer.write(id);
+  }
+  if (is_final(kept.phase())) {
+    this->stop_runs(kept);
+    this->forget_if_over(id);
+  }
+}
+
+void owner::adopt_run(live_job& job, const task_ref& task, const live_task& t) {
+  if (t.phase != task_phase::placed) {
+    return;
+  }
+  const step_spec& shape = job.spec().steps[static_cast<std::size_t>(task.in.step)];
+  const team_id& tenant = job.submission().tenant;
+  this->state.runners.add(t.runner,
+                          resident_of(this->state, job, task, t.run, this->services.time.now()));
+  this->state.tenants.add(tenant, shape.need);
+  this->session_of(t.runner).recover({task, t.run});
+}
+
+}  // namespace monsoonmux::cell
--- a/src/cell/testing/cell_test.cc
+++ b/src/cell/testing/cell_test.cc
@@ -252,6 +252,21 @@
   check_history(cell);
 }
 
+TEST_CASE("A daemon that is cut off from the log hears of the owner's successor") {
+  fake_cell cell(3, 2, 18);
+  cell.loop.run_for(millis{15'000});  // Longer than a silent peer is remembered.
+  const int former = owner_of(cell);
+  REQUIRE(former >= 0);
+  const int other = (former + 1) % 3;
+  cell.store.cut.insert(cell.nodes[static_cast<std::size_t>(other)]->name);
+  cell.nodes[static_cast<std::size_t>(former)]->kill();
+  cell.loop.run_for(millis{2'000});
+  cell.submit(other, job_name(0), fake_cell::simple_job(1));
+  cell.loop.run_for(millis{200});
+  CHECK(cell.accepted.contains(job_name(0)));
+  CHECK(cell.history.starts == 1);
+}
+
 TEST_CASE("A newer configuration at the owner judges a cut off daemon's callers again") {
   fake_cell cell(2, 2, 15);
   cell.config.queues[0].open = false;
--- /dev/null
+++ b/src/decide/placer_claims.cc
@@ -0,0 +1,197 @@
+// Holding runners back. Tasks that need much of a runner would wait for ever beside a
+// stream of small ones, which take whatever gets free; so a few of the most urgent
+// large steps claim the runners that will have room for them first. To keep a claim
+// from idling its runner, shorter work may still run there, and resumable work of
+// less urgent queues runs there until the claimant can start, and is stopped then.
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "decide/placer.h"
+
+namespace monsoonmux::cell {
+
+std::size_t placer::members_that_fit(const waiting_step& step, const runner_state& runner) const {
+  const resources each = reserved_room(*step.shape);
+  std::size_t fits = 0;
+  resources taken = each;
+  while (fits < step.tasks.size() && taken.fits(runner.entry.capacity)) {
+    ++fits;
+    taken += each;
+  }
+  return fits;
+}
+
+bool placer::gives_way(const resident_run& run, const waiting_step& step) const {
+  return run.resumable && step.order.priority < run.priority &&
+         run.slack >= this->options.preempted_wait;
+}
+
+instant placer::fits_at(const runner_state& runner, const resources& need, const waiting_step& step,
+                        instant now) const {
+  resources room = runner.room();
+  if (need.fits(room)) {
+    return now;
+  }
+  std::vector<std::pair<instant, resources>> ends;
+  for (const auto& [key, run] : runner.residents) {
+    const bool soon = run.stopping || gives_way(run, step);
+    const instant usual = run.expected.value > 0 ? run.since + run.expected : never;
+    ends.emplace_back(soon ? now + this->options.stop_time : std::max(now, usual), run.reserved);
+  }
+  std::sort(ends.begin(), ends.end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  for (const auto& [end, freed] : ends) {
+    room += freed;
+    if (need.fits(room)) {
+      return end;
+    }
+  }
+  return never;
+}
+
+// Of the candidates as many as the step's tasks need, those with the earliest room
+// first. Of a gang that needs more than all of them, none.
+std::vector<placer::share> placer::first_shares(std::vector<share> candidates,
+                                                const waiting_step& step) const {
+  std::size_t members = step.tasks.size();
+  const auto before = this->claims_before.find(step.ref);
+  const auto was_claimed = [&](const share& part) {
+    return before != this->claims_before.end() &&
+           std::find(before->second.begin(), before->second.end(), part.runner->entry.id) !=
+               before->second.end();
+  };
+  std::erase_if(candidates, [](const share& part) { return part.fits_at == never; });
+  std::stable_sort(candidates.begin(), candidates.end(), [&](const share& a, const share& b) {
+    return std::tuple(!was_claimed(a), a.fits_at, b.runner->room().accelerators) <
+           std::tuple(!was_claimed(b), b.fits_at, a.runner->room().accelerators);
+  });
+  const resources each = reserved_room(*step.shape);
+  std::vector<share> chosen;
+  for (const share& part : candidates) {
+    if (members == 0) {
+      break;
+    }
+    std::size_t held = 0;
+    for (resources taken = each; taken.fits(part.need) && held < members; taken += each) {
+      ++held;
+    }
+    held = std::min(held, members);
+    members -= held;
+    chosen.push_back(part);
+  }
+  return members == 0 || !step.shape->gang ? chosen : std::vector<share>();
+}
+
+std::vector<placer::share> placer::shares_to_claim(const waiting_step& step, instant now) {
+  std::vector<runner_state*> usable;
+  for (runner_state* runner : this->services[step.service.text].runners) {
+    const bool good = step.advice == nullptr || step.advice->known_good(runner->entry.id);
+    if (good && runner->listed && !runner->entry.draining && this->permitted(step, *runner) &&
+        !this->claimed.contains(runner->entry.id)) {
+      usable.push_back(runner);
+    }
+  }
+  // One member a runner first: that is free soonest. Whole runners if that is not
+  // enough of them.
+  const resources each = reserved_room(*step.shape);
+  std::vector<share> single;
+  std::vector<share> whole;
+  for (runner_state* runner : usable) {
+    single.push_back({runner, each, this->fits_at(*runner, each, step, now)});
+    const auto most = static_cast<std::int64_t>(this->members_that_fit(step, *runner));
+    if (most > 0) {
+      whole.push_back({runner, each * most, this->fits_at(*runner, each * most, step, now)});
+    }
+  }
+  std::vector<share> chosen = this->first_shares(std::move(single), step);
+  return chosen.empty() ? this->first_shares(std::move(whole), step) : chosen;
+}
+
+// Stops runs that give way until the share fits. Those that have longest to go come
+// first: the others will be over soon anyway.
+void placer::preempt(const share& part, const waiting_step& step, instant now, plan& out) {
+  resources room = part.runner->room();
+  std::vector<std::pair<const run_key, resident_run>*> victims;
+  for (auto& entry : part.runner->residents) {
+    const resident_run& run = entry.second;
+    const bool over_soon =
+        run.expected.value > 0 && run.since + run.expected <= now + this->options.stop_time;
+    if (run.stopping || over_soon) {
+      room += run.reserved;
+    } else if (gives_way(run, step)) {
+      victims.push_back(&entry);
+    }
+  }
+  std::sort(victims.begin(), victims.end(), [](const auto* a, const auto* b) {
+    return a->second.since + a->second.expected > b->second.since + b->second.expected;
+  });
+  for (auto* victim : victims) {
+    if (part.need.fits(room)) {
+      return;
+    }
+    room += victim->second.reserved;
+    victim->second.stopping = true;
+    out.preemptions.push_back({part.runner->entry.id, victim->first, step.ref});
+  }
+}
+
+bool placer::claims(const waiting_step& step) {
+  const service_round& round = this->services[step.service.text];
+  if (round.claims >= this->options.claiming_steps) {
+    return false;
+  }
+  return step.shape->gang ||
+         dominant_share(step.shape->need, round.largest) >= this->options.large_part;
+}
+
+// Keeps the runners that will have room first from filling up again, and has
+// resumable runs of less urgent queues stop if the step can start at once then. A
+// gang that would not fit on all of its runners even when they are empty claims
+// none: it would hold them idle for nothing. Its members wait for each other; other
+// tasks start one by one.
+void placer::claim_runners(const waiting_step& step, instant now, plan& out) {
+  const std::vector<share> chosen = this->shares_to_claim(step, now);
+  if (chosen.empty()) {
+    return;
+  }
+  instant all_free = now;
+  for (const share& part : chosen) {
+    all_free = std::max(all_free, part.fits_at);
+  }
+  for (const share& part : chosen) {
+    this->claim(part, step, step.shape->gang ? all_free : part.fits_at, now, out);
+  }
+  ++this->services[step.service.text].claims;
+}
+
+void placer::claim(const share& part, const waiting_step& step, instant free_at, instant now,
+                   plan& out) {
+  const std::string& id = part.runner->entry.id;
+  this->claimed.emplace(id, held_runner{step.ref, step.order.priority, free_at});
+  this->claims_now[step.ref].push_back(id);
+  if (free_at <= now + this->options.preempt_within) {
+    this->preempt(part, step, now, out);
+  }
+}
+
+// Work that is over before the claimant could start anyway takes nothing from it.
+bool placer::yields_to_claim(const waiting_step& step, const runner_state& runner,
+                             instant now) const {
+  const auto it = this->claimed.find(runner.entry.id);
+  if (it == this->claimed.end() || it->second.by == step.ref) {
+    return false;
+  }
+  const held_runner& held = it->second;
+  const bool would_give_way = step.shape->checkpoints && !step.shape->gang &&
+                              !step.shape->long_running && held.priority < step.order.priority &&
+                              step.order.slack >= this->options.preempted_wait;
+  if (would_give_way && now + this->options.preempt_within < held.free_at) {
+    return false;  // It stops again when the claimant has its other runners.
+  }
+  const millis usual = this->expected_time(step);
+  return usual.value <= 0 || now + usual > held.free_at;
+}
+
+}  // namespace monsoonmux::cell
