--- a/src/cell/cell_daemon.cc
+++ b/src/cell/cell_daemon.cc
@@ -260,6 +260,18 @@
   if (this->beats()) {
     this->beat.send(this->owned);
   }
+  this->note_owner_contact();
+}
+
+void cell_daemon::note_owner_contact() {
+  const bool hears = this->relay.can_relay();
+  if (hears == this->hears_owner) {
+    return;
+  }
+  this->hears_owner = hears;
+  const std::string owner = this->beat_source ? this->beat_source->host : std::string();
+  this->events.write(hears ? "owner_heard" : "owner_silent",
+                     {{"owner", owner}, {"epoch", this->relay.heard_epoch().value}});
 }
 
 void cell_daemon::hear_beat(const owner_beat_message& heard, const peer_address& from) {
--- a/src/cell/cell_daemon.h
+++ b/src/cell/cell_daemon.h
@@ -95,6 +95,8 @@
   void store_for_peer(const std::string& sender, const store_request_message& request,
                       const peer_address& from);
   void send_beat();
+  // Logs when beats of an owner begin or cease to arrive.
+  void note_owner_contact();
   bool beats() const;
   std::optional<peer_address> owner_address() const;
 
@@ -127,6 +129,7 @@
   std::unique_ptr<log_follower> retired_feed;
   // Peers' records that are on their way into the log: sender and its number.
   std::set<std::pair<std::string, std::int64_t>> storing;
+  bool hears_owner = false;
   bool draining = false;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/src/cell/owner_relay.h
+++ b/src/cell/owner_relay.h
@@ -51,6 +51,8 @@
   // The owner of this epoch is alive and reaches the log.
   void beat(epoch of, const peer_address& from);
   void answered(const store_answer_message& answer);
+  // Of the owner that was heard last.
+  epoch heard_epoch() const { return this->owner_epoch; }
 
  private:
   struct entry {
