Requests between daemons: numbers of one life, records that fit, newest owner

(2) Numbers of requests began at 1 in each life: after a restart within the time of an append an answer meant for the former life could have said 'stored' of another job, or given one step the advice for another. They begin at a random number now. (3) Beats of a former owner could lead a daemon that is cut off from the log back to it.

--- a/src/cell/advice_dispatcher.h
+++ b/src/cell/advice_dispatcher.h
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "cell/advice_desk.h"
 #include "cell/peer_port.h"
+#include "cell/request_number.h"
 #include "decide/placer.h"
 
 namespace monsoonmux::cell {
@@ -70,7 +71,7 @@
   const dispatcher_options options;
   std::map<std::string, peer> peers;
   std::map<std::int64_t, question> open;
-  std::int64_t next_number = 1;
+  std::int64_t next_number = first_request_number();
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/cell/owner_relay.cc
+++ b/src/cell/owner_relay.cc
@@ -2,6 +2,8 @@
 
 #include <vector>
 
+#include "cell/request_number.h"
+
 namespace monsoonmux::cell {
 
 owner_relay::owner_relay(event_loop& io, peer_port& peers_link, record_writer& own_writer,
@@ -13,7 +15,8 @@
       self(std::move(name)),
       local(here),
       options(given),
-      ticker(io) {}
+      ticker(io),
+      next_number(first_request_number()) {}
 
 owner_relay::~owner_relay() {
   *this->alive = false;
@@ -24,6 +27,9 @@
 }
 
 void owner_relay::beat(epoch of, const peer_address& from) {
+  if (of < this->owner_epoch) {
+    return;
+  }
   this->owner_epoch = of;
   this->owner = from;
   this->last_beat = this->time.now();
@@ -31,7 +37,9 @@
 
 void owner_relay::write(write_request request, on_outcome done) {
   const bool here = this->local.can_store();
-  if (!here && !this->can_relay()) {
+  const std::size_t bytes = request.record.key.size() + request.record.value.size();
+  const bool fits = bytes <= this->options.largest_record;
+  if (!here && (!this->can_relay() || !fits)) {
     this->own.write(std::move(request), std::move(done));
     return;
   }
--- a/src/cell/owner_relay.h
+++ b/src/cell/owner_relay.h
@@ -19,6 +19,9 @@
   millis beat_age{300};
   millis resend{100};  // The request or its answer may have been lost.
   millis tick{50};
+  // Bytes of a record that still fit into one datagram with all that goes with it; a
+  // daemon receives 16 KB at most.
+  std::size_t largest_record = 12 * 1024;
 };
 
 // This daemon's own owner.
@@ -48,7 +51,8 @@
 
   void write(write_request request, on_outcome done) override;
   bool can_relay() const override;
-  // The owner of this epoch is alive and reaches the log.
+  // The owner of this epoch is alive and reaches the log. Beats of lower epochs than
+  // one that was heard are of a former owner, and count for nothing.
   void beat(epoch of, const peer_address& from);
   void answered(const store_answer_message& answer);
   // Of the owner that was heard last.
@@ -76,7 +80,7 @@
   const relay_options options;
   timer ticker;
   std::map<std::int64_t, entry> open;
-  std::int64_t next_number = 1;
+  std::int64_t next_number;
   epoch owner_epoch{0};
   peer_address owner;
   instant last_beat{0};
