Only the owner and its standbys read the work; the others ask them

Change: the owner chooses up to 7 strong hosts, of other zones first, that follow the work and take over at once (standby_choice, follow_policy); all others ask them about a job's state and a queue's count (state_inquiry). Claims are read seldom while beats come; renewals read late are no sign of life. Hosts tell their strength in hellos. Ruled out: one record read from the log per question (a page of 1 MB each), phases of all jobs to all daemons in beats (a lost beat leaves a wrong state for good). Tests: follow_test, standby_choice_test; 'A dead owner is followed within a second' failed until late renewals counted as no sign of life.

--- a/src/cell/cell_daemon.cc
+++ b/src/cell/cell_daemon.cc
@@ -1,5 +1,7 @@
 #include "cell/cell_daemon.h"
 
+#include <algorithm>
+
 namespace monsoonmux::cell {
 namespace {
 
@@ -22,26 +24,31 @@
       options(chosen),
       writer(loop, given.log, now),
       relay(loop, given.peers, this->writer, now, chosen.self, *this),
-      front(this->relay, now, out, counted),
+      beat(given.peers, now, chosen.self, chosen.zone, chosen.beats),
+      elsewhere(loop, given.peers, now, chosen.self, [this] { return this->knowing_peers(); }),
+      front(this->relay, this->elsewhere, now, out, counted),
       advice(given.advice, now),
-      beat(given.peers, now, chosen.self),
       config_feed(loop, given.log, now, out, given.sources.config_topic(), {},
                   {[this](const logged_record& r) { this->config_record(r); }, [] {}, {}}),
-      work_feed(loop, given.log, now, out, work_topic,
-                {.wait = chosen.book_wait, .min_interval = chosen.book_interval},
-                {[this](const logged_record& r) { this->work_record(r); },
-                 [this] {
-                   this->front.feed(&this->book, [this] { return this->work_feed.last_contact(); });
-                   this->finish_takeover();
-                 },
-                 {}}),
+      work(loop, given.log, now, out,
+           follow_policy(chosen.self.text, chosen.host.strength(), now.now(), chosen.follow),
+           {.wait = chosen.book_wait, .min_interval = chosen.book_interval},
+           {[this](const logged_record& r) { this->work_record(r); },
+            [this] {
+              this->front.feed(&this->work.book(), [this] { return this->work.last_contact(); });
+              this->finish_takeover();
+            },
+            [this] { this->front.close_book(); }}),
       claim(loop, given.log, now, out, complete(chosen.ownership, chosen),
             {[this](epoch at) { this->gained(at); },
              [this](const std::string& why) { this->lost(why); },
-             [this] { return this->work_feed.loaded() && this->front.configured(); }}),
+             [this] { return this->work.loaded() && this->front.configured(); },
+             [this] { return this->claim_handicap(); }}),
       hello(loop),
       beat_timer(loop),
-      retire(loop) {}
+      retire(loop) {
+  this->front.watch_log([this] { return this->log_contact(); });
+}
 
 cell_daemon::~cell_daemon() {
   *this->alive = false;
@@ -49,15 +56,32 @@
 
 void cell_daemon::start() {
   this->config_feed.start();
-  this->work_feed.start();
   this->claim.start();
+  this->work.update(false);
   this->say_hello();
   this->send_beat();
 }
 
 bool cell_daemon::ready() const {
-  return !this->draining && this->front.configured() && this->work_feed.loaded() &&
-         this->time.now() - this->work_feed.last_contact() < this->options.unready_after;
+  const instant now = this->time.now();
+  const bool knows = this->work.loaded() || now - this->last_beat < this->options.ready_after_beat;
+  return !this->draining && this->front.configured() && knows &&
+         now - this->log_contact() < this->options.unready_after;
+}
+
+// The newest answer of the log to any of the topics that are followed.
+instant cell_daemon::log_contact() const {
+  return std::max(
+      {this->config_feed.last_contact(), this->claim.last_contact(), this->work.last_contact()});
+}
+
+millis cell_daemon::claim_handicap() const {
+  if (this->work.chosen()) {
+    return millis{0};
+  }
+  const double weakness = 1 - this->options.host.strength();
+  return millis{static_cast<std::int64_t>(
+      weakness * static_cast<double>(this->options.weakness_handicap.value))};
 }
 
 void cell_daemon::drain(std::function<void()> on_resigned) {
@@ -90,10 +114,10 @@
 
 void cell_daemon::work_record(const logged_record& record) {
   const auto key = parse_key(record.record.key);
-  const job_record* const before = key ? this->book.find(key->job) : nullptr;
+  const job_record* const before = key ? this->work.book().find(key->job) : nullptr;
   const std::optional<job_phase> was =
       before != nullptr && before->submission ? std::optional(before->phase()) : std::nullopt;
-  const book_change change = this->book.apply(record.record, record.offset);
+  const book_change change = this->work.book().apply(record.record, record.offset);
   if (change == book_change::unreadable) {
     this->events.write("record_unreadable",
                        {{"offset", record.offset}, {"key", record.record.key}});
@@ -102,7 +126,7 @@
   if (this->owns()) {
     this->tell_peers(key->job, was);
     if (change == book_change::submitted) {
-      this->orders->submitted(*this->book.find(key->job));
+      this->orders->submitted(*this->work.book().find(key->job));
     } else if (change == book_change::cancelled) {
       this->orders->cancelled(key->job);
     }
@@ -118,7 +142,7 @@
 }
 
 void cell_daemon::tell_peers(const job_id& job, std::optional<job_phase> was) {
-  const job_record* const now = this->book.find(job);
+  const job_record* const now = this->work.book().find(job);
   if (now != nullptr && now->submission && now->phase() != was) {
     this->beat.note(job, now->phase());
   }
@@ -128,8 +152,9 @@
   this->events.write("owner_gained", {{"epoch", at.value}});
   this->metrics.count("owner_gained");
   this->owned = at;
+  this->beat.begin();
   this->fenced_at = -1;
-  this->work_feed.pace(this->options.owner_book_interval);
+  this->work.pace(this->options.owner_book_interval);
   this->begin_ownership();
 }
 
@@ -151,7 +176,7 @@
                      [this](const logged_record& record) { this->work_record(record); }});
   this->orders->fence([this](std::int64_t end) {
     this->fenced_at = end;
-    this->work_feed.hurry();
+    this->work.hurry();
     this->finish_takeover();
   });
 }
@@ -160,10 +185,10 @@
 // a configuration.
 void cell_daemon::finish_takeover() {
   if (!this->orders || this->orders->active() || this->fenced_at < 0 || !this->front.configured() ||
-      !this->work_feed.loaded() || this->work_feed.position() < this->fenced_at) {
+      !this->work.loaded() || this->work.position() < this->fenced_at) {
     return;
   }
-  this->orders->take_over(this->book, this->front.config());
+  this->orders->take_over(this->work.book(), this->front.config());
   this->runners_seen.clear();
   this->runners_known.clear();
   follower_options pace;
@@ -217,7 +242,7 @@
   this->metrics.count("owner_lost");
   this->fenced_at = -1;
   this->storing.clear();
-  this->work_feed.pace(this->options.book_interval);
+  this->work.pace(this->options.book_interval);
   // Destroyed from the loop: this may be called from inside of them.
   this->retired = std::move(this->orders);
   this->retired_feed = std::move(this->runner_feed);
@@ -231,8 +256,10 @@
   this->hello.start(this->options.hello_every, [this] { this->say_hello(); });
   const std::optional<peer_address> owner = this->owner_address();
   if (owner && !this->claim.owner()) {
-    this->ports.peers.send({this->options.self.text, hello_message{this->advice.backlog().value}},
-                           *owner);
+    this->ports.peers.send(
+        {this->options.self.text, hello_message{this->advice.backlog().value, this->options.zone,
+                                                this->options.host.strength()}},
+        *owner);
   }
 }
 
@@ -260,6 +287,7 @@
   if (this->beats()) {
     this->beat.send(this->owned);
   }
+  this->work.update(this->claim.owner());
   this->note_owner_contact();
 }
 
@@ -282,12 +310,59 @@
   this->claim.beat(heard.owner_epoch);
   this->relay.beat(heard.owner_epoch, from);
   this->beat_source = from;
+  this->last_beat = this->time.now();
+  this->note_standbys(heard);
   for (const known_peer& peer : heard.peers) {
     this->beat.heard_of(peer);
   }
   for (const job_phase_change& change : heard.phases) {
-    this->book.note_phase(change.job, change.phase);
+    this->work.book().note_phase(change.job, change.phase);
+  }
+}
+
+void cell_daemon::note_standbys(const owner_beat_message& heard) {
+  if (!heard.standbys) {
+    this->work.owner_heard(std::nullopt);
+    return;
+  }
+  const auto& names = *heard.standbys;
+  this->work.owner_heard(std::find(names.begin(), names.end(), this->options.self.text) !=
+                         names.end());
+  this->standbys = heard.standby_addresses;
+}
+
+// The owner knows first; then those that follow it.
+std::vector<peer_address> cell_daemon::knowing_peers() const {
+  std::vector<peer_address> out;
+  if (const std::optional<peer_address> owner = this->owner_address()) {
+    out.push_back(*owner);
+  } else if (this->beat_source) {
+    out.push_back(*this->beat_source);
+  }
+  out.insert(out.end(), this->standbys.begin(), this->standbys.end());
+  return out;
+}
+
+void cell_daemon::answer_phase(const phase_request_message& request, const peer_address& from) {
+  const auto phase = this->front.phase_of(request.job);
+  if (phase.has_error()) {
+    return;  // Another daemon is asked next.
+  }
+  const std::optional<job_phase>& known = phase.value();
+  this->ports.peers.send(
+      {this->options.self.text,
+       phase_answer_message{request.request, known.has_value(), known.value_or(job_phase::queued)}},
+      from);
+}
+
+void cell_daemon::answer_pending(const pending_request_message& request, const peer_address& from) {
+  if (!this->work.loaded()) {
+    return;  // Another daemon is asked next.
   }
+  this->ports.peers.send(
+      {this->options.self.text,
+       pending_answer_message{request.request, this->work.book().pending(request.queue)}},
+      from);
 }
 
 void cell_daemon::heard(const peer_message& message, const peer_address& from) {
@@ -296,7 +371,7 @@
   } else if (const auto* const beat_heard = std::get_if<owner_beat_message>(&message.body)) {
     this->hear_beat(*beat_heard, from);
   } else if (std::holds_alternative<hello_message>(message.body)) {
-    this->beat.heard(message.sender, from);
+    this->beat.heard(message.sender, from, std::get<hello_message>(message.body));
     if (this->orders) {
       this->orders->heard(message.sender, from);
     }
@@ -304,6 +379,14 @@
     this->store_for_peer(message.sender, *wanted, from);
   } else if (const auto* const stored = std::get_if<store_answer_message>(&message.body)) {
     this->relay.answered(*stored);
+  } else if (const auto* const asked = std::get_if<phase_request_message>(&message.body)) {
+    this->answer_phase(*asked, from);
+  } else if (const auto* const told = std::get_if<phase_answer_message>(&message.body)) {
+    this->elsewhere.answered(*told);
+  } else if (const auto* const asked_for = std::get_if<pending_request_message>(&message.body)) {
+    this->answer_pending(*asked_for, from);
+  } else if (const auto* const pending = std::get_if<pending_answer_message>(&message.body)) {
+    this->elsewhere.answered(*pending);
   } else if (const auto* const answer = std::get_if<advice_answer_message>(&message.body)) {
     if (this->orders) {
       this->orders->advice_answered(*answer);
@@ -341,7 +424,7 @@
     answer({0, false, error_code::bad_request, "not a caller's record"});
     return;
   }
-  const job_record* const known = this->book.find(key->job);
+  const job_record* const known = this->work.book().find(key->job);
   if (known != nullptr && known->submission && key->kind == record_kind::submission) {
     answer({0, true, {}, {}});
     return;
--- a/src/cell/cell_daemon.h
+++ b/src/cell/cell_daemon.h
@@ -7,6 +7,7 @@
 
 #include "async/counters.h"
 #include "async/event_log.h"
+#include "base/host_limits.h"
 #include "cell/advice_desk.h"
 #include "cell/beat_sender.h"
 #include "cell/cell_sources.h"
@@ -16,7 +17,9 @@
 #include "cell/owner_relay.h"
 #include "cell/ownership.h"
 #include "cell/peer_port.h"
+#include "cell/state_inquiry.h"
 #include "cell/submission_writer.h"
+#include "cell/work_feed.h"
 
 namespace monsoonmux::cell {
 
@@ -24,6 +27,10 @@
   daemon_id self;
   std::string address;  // Of this host, for its peers.
   std::uint16_t peer_port = 0;
+  domain_id zone;
+  host_limits host;
+  beat_options beats;
+  follow_options follow;
   owner_options owner;
   ownership_options ownership;  // self, peer_address and peer_port are filled in.
   millis hello_every{400};      // To the owner.
@@ -40,6 +47,12 @@
   // lately.
   millis beat_renewal_age{1'500};
   millis owner_book_interval{100};
+  // A daemon that does not follow the work serves callers as long as it heard an owner
+  // this lately.
+  millis ready_after_beat{2'500};
+  // The weakest host lets an owner be silent for so much longer than the strongest,
+  // unless the owner chose it.
+  millis weakness_handicap{800};
 };
 
 // What a daemon gets from the platform.
@@ -65,6 +78,8 @@
   job_desk& desk() { return this->front; }
   // True if it gives the orders.
   bool owns() const { return this->orders != nullptr && this->orders->active(); }
+  // True if it reads the records of the work; the others ask those that do.
+  bool follows_work() const { return this->work.follows(); }
   // What it knows of run times as the owner; null if it is not.
   const run_time_book* run_times() const {
     return this->owns() ? &this->orders->run_times() : nullptr;
@@ -92,9 +107,16 @@
   void say_hello();
   void hear_beat(const owner_beat_message& beat, const peer_address& from);
   void advise(const advice_request_message& request, const peer_address& from);
+  void answer_phase(const phase_request_message& request, const peer_address& from);
+  void answer_pending(const pending_request_message& request, const peer_address& from);
+  // Who may know what this daemon's book does not.
+  std::vector<peer_address> knowing_peers() const;
+  millis claim_handicap() const;
+  instant log_contact() const;
   void store_for_peer(const std::string& sender, const store_request_message& request,
                       const peer_address& from);
   void send_beat();
+  void note_standbys(const owner_beat_message& heard);
   // Logs when beats of an owner begin or cease to arrive.
   void note_owner_contact();
   bool beats() const;
@@ -108,12 +130,12 @@
   const daemon_options options;
   submission_writer writer;
   owner_relay relay;
+  beat_sender beat;
+  state_inquiry elsewhere;
   job_desk front;
-  job_book book;
   advice_desk advice;
-  beat_sender beat;
   log_follower config_feed;
-  log_follower work_feed;
+  work_feed work;
   ownership claim;
   std::unique_ptr<log_follower> runner_feed;
   std::unique_ptr<owner> orders;
@@ -124,6 +146,8 @@
   timer hello;
   timer beat_timer;
   std::optional<peer_address> beat_source;  // Of the newest owner that beats.
+  std::vector<peer_address> standbys;       // Of that owner, as far as they are known.
+  instant last_beat{0};
   timer retire;
   std::unique_ptr<owner> retired;
   std::unique_ptr<log_follower> retired_feed;
--- a/src/cell/job_desk.cc
+++ b/src/cell/job_desk.cc
@@ -2,9 +2,9 @@
 
 namespace monsoonmux::cell {
 
-job_desk::job_desk(record_writer& target, const clock& now, event_log& out, counters& counted,
-                   const desk_options& given)
-    : writer(target), time(now), events(out), metrics(counted), options(given) {}
+job_desk::job_desk(record_writer& target, state_source& others, const clock& now, event_log& out,
+                   counters& counted, const desk_options& given)
+    : writer(target), elsewhere(others), time(now), events(out), metrics(counted), options(given) {}
 
 void job_desk::configure(cell_config config) {
   this->current = std::move(config);
@@ -16,13 +16,16 @@
   this->book_contact = std::move(contact);
 }
 
+void job_desk::close_book() {
+  this->book = nullptr;
+}
+
 bool job_desk::book_is_fresh() const {
   return this->book != nullptr && this->time.now() - this->book_contact() < this->options.book_age;
 }
 
 bool job_desk::log_answers() const {
-  return this->book != nullptr &&
-         this->time.now() - this->book_contact() < this->options.log_silence;
+  return this->log_contact && this->time.now() - this->log_contact() < this->options.log_silence;
 }
 
 result<caller> job_desk::identify(const std::string& host, const std::string& path,
@@ -44,7 +47,7 @@
 
 // True if a record is likely to get into the log now.
 bool job_desk::takes_records() const {
-  return this->log_answers() || (this->book != nullptr && this->writer.can_relay());
+  return this->log_answers() || this->writer.can_relay();
 }
 
 failure job_desk::failure_of(const write_outcome& outcome) {
@@ -116,23 +119,49 @@
   return std::optional<job_phase>();
 }
 
-void job_desk::cancel(const caller& from, const job_id& job, instant deadline,
-                      const reply<bool>& on_answer) {
-  const auto phase = this->phase_of(job);
-  if (phase.has_error()) {
-    on_answer(phase.error());
+void job_desk::find_phase(const job_id& job, instant deadline,
+                          const reply<std::optional<job_phase>>& on_answer) {
+  const auto here = this->phase_of(job);
+  if (here.has_value()) {
+    on_answer(here.value());
     return;
   }
-  if (!phase.value()) {
-    on_answer(false);
-    return;
-  }
-  if (is_final(*phase.value())) {
-    on_answer(true);
+  this->elsewhere.phase(job, deadline, on_answer);
+}
+
+void job_desk::find_pending(const caller& from, instant deadline,
+                            const reply<std::int64_t>& on_answer) {
+  const auto here = this->pending(from);
+  if (here.has_value()) {
+    on_answer(here.value());
     return;
   }
+  this->elsewhere.pending(from.queue->name, deadline, on_answer);
+}
+
+void job_desk::cancel(const caller& from, const job_id& job, instant deadline,
+                      const reply<bool>& on_answer) {
+  // The configuration that `from` points into may change before the answer comes.
+  const caller_proof proof = from.proof;
+  this->find_phase(
+      job, deadline,
+      [this, proof, job, deadline, on_answer](const result<std::optional<job_phase>>& phase) {
+        if (phase.has_error()) {
+          on_answer(phase.error());
+        } else if (!phase.value()) {
+          on_answer(false);
+        } else if (is_final(*phase.value())) {
+          on_answer(true);
+        } else {
+          this->write_cancellation(proof, job, deadline, on_answer);
+        }
+      });
+}
+
+void job_desk::write_cancellation(const caller_proof& proof, const job_id& job, instant deadline,
+                                  const reply<bool>& on_answer) {
   this->writer.write(
-      {{key_of(record_kind::cancellation, job), std::string(1, '1')}, deadline, from.proof},
+      {{key_of(record_kind::cancellation, job), std::string(1, '1')}, deadline, proof},
       [this, job, on_answer](const write_outcome& outcome) {
         if (outcome.fate == write_fate::stored) {
           this->events.write("cancel_accepted", {{"job", job.text}});
--- a/src/cell/job_desk.h
+++ b/src/cell/job_desk.h
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "base/failure.h"
 #include "cell/record_writer.h"
+#include "cell/state_source.h"
 #include "decide/job_book.h"
 #include "model/cell_config.h"
 
@@ -34,14 +35,20 @@
 // when its record is in the log, so a repeat at another daemon is the same job.
 class job_desk {
  public:
-  job_desk(record_writer& writer, const clock& time, event_log& events, counters& metrics,
-           const desk_options& options = {});
+  // `elsewhere` is asked while this daemon keeps no book or an old one.
+  job_desk(record_writer& writer, state_source& elsewhere, const clock& time, event_log& events,
+           counters& metrics, const desk_options& options = {});
 
   void configure(cell_config config);
   bool configured() const { return this->is_configured; }
   const cell_config& config() const { return this->current; }
   // The book was loaded and is fed from the log; `contact` says when it last was.
   void feed(const job_book* book, std::function<instant()> contact);
+  // The book is no longer fed.
+  void close_book();
+  bool has_book() const { return this->book != nullptr; }
+  // The log answered this daemon, whatever it was asked.
+  void watch_log(std::function<instant()> contact) { this->log_contact = std::move(contact); }
 
   // Who calls, and on which queue. Fails with not_found, unauthorized or, while
   // there is no configuration, unavailable.
@@ -49,20 +56,29 @@
                           const std::string& key) const;
   void submit(const caller& from, const job_id& job, job_spec spec, instant deadline,
               const reply<void>& on_answer);
-  // Nothing if there is no such job.
+  // As this daemon's own book has it; nothing if there is no such job. Fails with
+  // unavailable if the book cannot tell.
   result<std::optional<job_phase>> phase_of(const job_id& job) const;
+  // The same from the own book or from a daemon that keeps one.
+  void find_phase(const job_id& job, instant deadline,
+                  const reply<std::optional<job_phase>>& on_answer);
   // False if there is no such job.
   void cancel(const caller& from, const job_id& job, instant deadline,
               const reply<bool>& on_answer);
+  // Of the own book alone. Fails with unavailable if there is none.
   result<std::int64_t> pending(const caller& from) const;
+  void find_pending(const caller& from, instant deadline, const reply<std::int64_t>& on_answer);
 
  private:
   bool book_is_fresh() const;
+  void write_cancellation(const caller_proof& proof, const job_id& job, instant deadline,
+                          const reply<bool>& on_answer);
   bool log_answers() const;
   bool takes_records() const;
   static failure failure_of(const write_outcome& outcome);
 
   record_writer& writer;
+  state_source& elsewhere;
   const clock& time;
   event_log& events;
   counters& metrics;
@@ -71,6 +87,7 @@
   bool is_configured = false;
   const job_book* book = nullptr;
   std::function<instant()> book_contact;
+  std::function<instant()> log_contact;
 };
 
 }  // namespace monsoonmux::cell
--- a/src/cell/ownership.cc
+++ b/src/cell/ownership.cc
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -63,7 +64,8 @@
   }
   this->end = record.offset + 1;
   this->claim = seen;
-  this->heard = this->time.now();
+  const bool fresh = this->reads_seldom || this->fresh_after.has_value();
+  this->heard = fresh ? this->time.now() : std::max(this->heard, this->last_beat);
   const bool mine = seen->nonce == this->nonce;
   if (mine && !this->is_owner && !seen->resigned && !this->stopping) {
     // A claim whose answer was lost.
@@ -90,6 +92,7 @@
 void ownership::tick() {
   this->ticker.start(tick_every, [this] { this->tick(); });
   const instant now = this->time.now();
+  this->pace_reads();
   if (this->follower.failed_reads() > 0 || !this->follower.loaded()) {
     // Silence counts only while the log would show a renewal.
     this->heard = now;
@@ -109,17 +112,39 @@
     }
     return;
   }
-  if (now - this->heard >= this->claim_delay() && this->on.may_claim()) {
+  if (now - this->alive_at() >= this->claim_delay() && this->on.may_claim()) {
     this->claim_next();
   }
 }
 
+// While beats come, the topic tells nothing that they do not tell sooner. The first read
+// after they ceased may show renewals from before: they are no sign of life.
+void ownership::pace_reads() {
+  const instant now = this->time.now();
+  const bool seldom = this->hears_beats() && !this->is_owner;
+  if (!seldom && !this->fresh_after && this->follower.last_contact() > this->frequent_since) {
+    this->fresh_after = now;
+  }
+  if (seldom != this->reads_seldom) {
+    this->reads_seldom = seldom;
+    this->frequent_since = now;
+    this->fresh_after.reset();
+    this->follower.pace(seldom ? this->options.read_interval : millis{0});
+  }
+}
+
+// When the owner last showed that it was alive.
+instant ownership::alive_at() const {
+  return this->hears_beats() ? this->heard : std::max(this->heard, this->last_beat);
+}
+
 millis ownership::claim_delay() const {
   const std::string seed =
       this->options.self.text + std::to_string(this->claim ? this->claim->owner_epoch.value : 0);
-  const millis turn{
+  const millis spread{
       static_cast<std::int64_t>(XXH64(seed.data(), seed.size(), 0) %
                                 static_cast<std::uint64_t>(this->options.stagger.value))};
+  const millis turn = spread + this->on.handicap();
   if (!this->claim) {
     return first_silence + turn;
   }
@@ -155,7 +180,7 @@
   next.peer_address = this->options.peer_address;
   next.peer_port = this->options.peer_port;
   this->renewal_sent = this->time.now();
-  const instant former = this->heard + this->options.orders_after_renewal;
+  const instant former = this->alive_at() + this->options.orders_after_renewal;
   this->append_claim(next,
                      [this, next, former, sent = this->renewal_sent](const append_answer& answer) {
                        if (answer.status != append_status::done || this->is_owner) {
--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -24,6 +24,8 @@
   // The same while the owner's beats still arrive: it is only the log that is slow
   // for it.
   millis claim_after_beats{1'500};
+  // Between two reads of the claims while beats say the same.
+  millis read_interval{900};
   // Beats come every 100 ms; after this without one the owner counts as silent.
   millis beat_silence{400};
   // Candidates spread over this time, so that one claim meets no other.
@@ -47,6 +49,8 @@
     // True if this daemon could take over at once. One that has just started has the
     // log to read first; another is better then.
     std::function<bool()> may_claim;
+    // How much longer than others this daemon lets an owner be silent before it claims.
+    std::function<millis()> handicap;
   };
 
   ownership(event_loop& io, shared_log& log, const clock& time, event_log& events,
@@ -70,6 +74,8 @@
   bool renewed_within(millis age) const {
     return this->is_owner && this->time.now() - this->renewed <= age;
   }
+  // When the log last answered a read of the claims.
+  instant last_contact() const { return this->follower.last_contact(); }
   // The newest claim; nothing if there was none yet.
   const std::optional<owner_claim>& newest() const { return this->claim; }
   // Asks for a successor, and goes on as the owner until there is one; `on_done` is
@@ -86,6 +92,8 @@
   void claim_next();
   void append_claim(const owner_claim& next, std::function<void(const append_answer&)> on_answer);
   millis claim_delay() const;
+  void pace_reads();
+  instant alive_at() const;
 
   shared_log& log;
   const clock& time;
@@ -106,6 +114,10 @@
   bool is_owner = false;
   bool in_flight = false;
   bool stopping = false;
+  bool reads_seldom = false;
+  // Since reads became frequent again; nothing until the first of them was answered.
+  instant frequent_since{0};
+  std::optional<instant> fresh_after = instant{0};
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/cell/peer_link.cc
+++ b/src/cell/peer_link.cc
@@ -28,7 +28,17 @@
 }
 
 void peer_link::send(const peer_message& message, const peer_address& to) {
+  this->send_bytes(encode(message), to);
+}
+
+void peer_link::send_to_all(const peer_message& message, const std::vector<peer_address>& to) {
   const std::string bytes = encode(message);
+  for (const peer_address& peer : to) {
+    this->send_bytes(bytes, peer);
+  }
+}
+
+void peer_link::send_bytes(const std::string& bytes, const peer_address& to) {
   asio::error_code error;
   const asio::ip::udp::endpoint peer(asio::ip::make_address(to.host, error), to.port);
   if (!error) {
--- a/src/cell/peer_link.h
+++ b/src/cell/peer_link.h
@@ -25,10 +25,12 @@
   peer_link& operator=(const peer_link&) = delete;
 
   void send(const peer_message& message, const peer_address& to) override;
+  void send_to_all(const peer_message& message, const std::vector<peer_address>& to) override;
   std::uint16_t port() const { return this->socket.local_endpoint().port(); }
 
  private:
   void receive();
+  void send_bytes(const std::string& bytes, const peer_address& to);
 
   static constexpr std::size_t max_datagram = 16 * 1024;
   event_log& events;
--- a/src/cell/peer_message.cc
+++ b/src/cell/peer_message.cc
@@ -6,7 +6,7 @@
 namespace monsoonmux::cell {
 namespace {
 
-constexpr char format_version = 2;
+constexpr char format_version = 3;
 
 }  // namespace
 
--- a/src/cell/peer_message.h
+++ b/src/cell/peer_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
@@ -21,10 +22,12 @@
 // To the owner: the sender is here and can ask for advice.
 struct hello_message {
   std::int64_t backlog_ms = 0;  // Time until a new question would begin.
+  domain_id zone;
+  double strength = 0;  // Of its host; see host_limits.
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->backlog_ms);
+    archive(this->backlog_ms, this->zone, this->strength);
   }
 };
 
@@ -73,15 +76,28 @@
   }
 };
 
-// A daemon and where it listens.
+// A daemon, where it listens, and what its host can carry.
 struct known_peer {
   std::string daemon;
   std::string host;
   std::uint16_t port = 0;
+  domain_id zone;
+  double strength = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->daemon, this->host, this->port);
+    archive(this->daemon, this->host, this->port, this->zone, this->strength);
+  }
+};
+
+// Where a daemon listens for its peers.
+struct peer_address {
+  std::string host;
+  std::uint16_t port = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->host, this->port);
   }
 };
 
@@ -89,12 +105,15 @@
 // should be told.
 struct owner_beat_message {
   epoch owner_epoch;
+  // Daemons that follow the work; nothing while the owner has not chosen them yet.
+  std::optional<std::vector<std::string>> standbys;
+  std::vector<peer_address> standby_addresses;
   std::vector<job_phase_change> phases;
-  std::vector<known_peer> peers;  // All that it knows; in some of the beats.
+  std::vector<known_peer> peers;  // All that it knows; in some of the beats to standbys.
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->owner_epoch, this->phases, this->peers);
+    archive(this->owner_epoch, this->standbys, this->standby_addresses, this->phases, this->peers);
   }
 };
 
@@ -128,8 +147,54 @@
   }
 };
 
-using peer_body = std::variant<hello_message, advice_request_message, advice_answer_message,
-                               owner_beat_message, store_request_message, store_answer_message>;
+// To a daemon that follows the work: in which phase is this job?
+struct phase_request_message {
+  std::int64_t request = 0;
+  job_id job;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->request, this->job);
+  }
+};
+
+// Sent only by a daemon whose knowledge is up to date.
+struct phase_answer_message {
+  std::int64_t request = 0;
+  bool known = false;  // False: there is no such job.
+  job_phase phase = job_phase::queued;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->request, this->known, this->phase);
+  }
+};
+
+// To a daemon that follows the work: how many jobs of the queue have not begun?
+struct pending_request_message {
+  std::int64_t request = 0;
+  queue_id queue;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->request, this->queue);
+  }
+};
+
+struct pending_answer_message {
+  std::int64_t request = 0;
+  std::int64_t pending = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->request, this->pending);
+  }
+};
+
+using peer_body =
+    std::variant<hello_message, advice_request_message, advice_answer_message, owner_beat_message,
+                 store_request_message, store_answer_message, phase_request_message,
+                 phase_answer_message, pending_request_message, pending_answer_message>;
 
 struct peer_message {
   std::string sender;
--- a/src/cell/peer_port.h
+++ b/src/cell/peer_port.h
@@ -2,22 +2,23 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "cell/peer_message.h"
 
 namespace monsoonmux::cell {
 
-// Where a daemon listens for its peers.
-struct peer_address {
-  std::string host;
-  std::uint16_t port = 0;
-};
-
 // Sends messages to other daemons. Any of them may be lost.
 class peer_port {
  public:
   virtual ~peer_port() = default;
   virtual void send(const peer_message& message, const peer_address& to) = 0;
+  // The same message to each of them.
+  virtual void send_to_all(const peer_message& message, const std::vector<peer_address>& to) {
+    for (const peer_address& peer : to) {
+      this->send(message, peer);
+    }
+  }
 };
 
 }  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/state_inquiry.cc
@@ -0,0 +1,104 @@
+#include "cell/state_inquiry.h"
+
+#include <algorithm>
+
+#include "cell/request_number.h"
+
+namespace monsoonmux::cell {
+
+state_inquiry::state_inquiry(event_loop& io, peer_port& peers_link, const clock& now,
+                             daemon_id name, peer_source peers, const inquiry_options& given)
+    : link(peers_link),
+      time(now),
+      self(std::move(name)),
+      whom(std::move(peers)),
+      options(given),
+      ticker(io),
+      next_number(first_request_number()) {}
+
+state_inquiry::~state_inquiry() = default;
+
+void state_inquiry::phase(const job_id& job, instant deadline,
+                          reply<std::optional<job_phase>> on_answer) {
+  const std::int64_t number = this->next_number++;
+  question q;
+  q.body = phase_request_message{number, job};
+  q.on_phase = std::move(on_answer);
+  this->ask(number, std::move(q), deadline);
+}
+
+void state_inquiry::pending(const queue_id& queue, instant deadline,
+                            reply<std::int64_t> on_answer) {
+  const std::int64_t number = this->next_number++;
+  question q;
+  q.body = pending_request_message{number, queue};
+  q.on_pending = std::move(on_answer);
+  this->ask(number, std::move(q), deadline);
+}
+
+void state_inquiry::ask(std::int64_t number, question q, instant deadline) {
+  q.deadline = std::min(deadline, this->time.now() + this->options.longest);
+  question& kept = this->open[number] = std::move(q);
+  this->send(kept);
+  if (!this->ticker.pending()) {
+    this->ticker.start(this->options.tick, [this] { this->tick(); });
+  }
+}
+
+void state_inquiry::send(question& q) {
+  q.sent_at = this->time.now();
+  const std::vector<peer_address> peers = this->whom();
+  if (!peers.empty()) {
+    this->link.send({this->self.text, q.body}, peers[q.tries++ % peers.size()]);
+  }
+}
+
+std::optional<state_inquiry::question> state_inquiry::take(std::int64_t number) {
+  const auto it = this->open.find(number);
+  if (it == this->open.end()) {
+    return std::nullopt;  // Answered before by another peer, or given up.
+  }
+  question out = std::move(it->second);
+  this->open.erase(it);
+  return out;
+}
+
+void state_inquiry::answered(const phase_answer_message& answer) {
+  const auto q = this->take(answer.request);
+  if (q && q->on_phase) {
+    q->on_phase(answer.known ? std::optional(answer.phase) : std::nullopt);
+  }
+}
+
+void state_inquiry::answered(const pending_answer_message& answer) {
+  const auto q = this->take(answer.request);
+  if (q && q->on_pending) {
+    q->on_pending(answer.pending);
+  }
+}
+
+void state_inquiry::tick() {
+  const instant now = this->time.now();
+  std::vector<std::int64_t> over;
+  for (auto& [number, q] : this->open) {
+    if (q.deadline <= now) {
+      over.push_back(number);
+    } else if (now - q.sent_at >= this->options.resend) {
+      this->send(q);
+    }
+  }
+  for (const std::int64_t number : over) {
+    const auto q = this->take(number);
+    const failure why = not_run(error_code::unavailable, "no daemon that follows the work answers");
+    if (q && q->on_phase) {
+      q->on_phase(why);
+    } else if (q && q->on_pending) {
+      q->on_pending(why);
+    }
+  }
+  if (!this->open.empty()) {
+    this->ticker.start(this->options.tick, [this] { this->tick(); });
+  }
+}
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/state_inquiry.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/failure.h"
+#include "cell/peer_message.h"
+#include "cell/peer_port.h"
+#include "cell/state_source.h"
+#include "cell/timer.h"
+
+namespace monsoonmux::cell {
+
+struct inquiry_options {
+  millis resend{120};     // The question or its answer may have been lost; ask the next peer.
+  millis longest{2'300};  // Long enough for a takeover.
+  millis tick{40};
+};
+
+// Asks daemons that follow the work about jobs, for one that does not.
+//
+// Questions change nothing, so each is repeated, to one peer after the other, until one
+// answers or its deadline passes; then the caller is told to come back. The peers are
+// asked for anew each time: there may be a new owner meanwhile.
+class state_inquiry final : public state_source {
+ public:
+  // The peers that may know, the best first.
+  using peer_source = std::function<std::vector<peer_address>()>;
+
+  state_inquiry(event_loop& io, peer_port& link, const clock& time, daemon_id self,
+                peer_source whom, const inquiry_options& options = {});
+  ~state_inquiry() override;
+  state_inquiry(const state_inquiry&) = delete;
+  state_inquiry& operator=(const state_inquiry&) = delete;
+
+  void phase(const job_id& job, instant deadline,
+             reply<std::optional<job_phase>> on_answer) override;
+  void pending(const queue_id& queue, instant deadline, reply<std::int64_t> on_answer) override;
+  void answered(const phase_answer_message& answer);
+  void answered(const pending_answer_message& answer);
+
+ private:
+  struct question {
+    peer_body body;
+    instant deadline;
+    instant sent_at{0};
+    std::size_t tries = 0;
+    reply<std::optional<job_phase>> on_phase;
+    reply<std::int64_t> on_pending;
+  };
+
+  void ask(std::int64_t number, question q, instant deadline);
+  void send(question& q);
+  void tick();
+  std::optional<question> take(std::int64_t number);
+
+  peer_port& link;
+  const clock& time;
+  const daemon_id self;
+  const peer_source whom;
+  const inquiry_options options;
+  timer ticker;
+  std::map<std::int64_t, question> open;
+  std::int64_t next_number;
+};
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/state_source.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "base/clock.h"
+#include "base/failure.h"
+#include "base/ids.h"
+#include "model/cell_record.h"
+
+namespace monsoonmux::cell {
+
+// Knows how jobs are, where this daemon's own book does not.
+class state_source {
+ public:
+  virtual ~state_source() = default;
+  // Nothing if there is no such job. Fails with unavailable.
+  virtual void phase(const job_id& job, instant deadline,
+                     reply<std::optional<job_phase>> on_answer) = 0;
+  // Accepted jobs of the queue that have not begun. Fails with unavailable.
+  virtual void pending(const queue_id& queue, instant deadline, reply<std::int64_t> on_answer) = 0;
+};
+
+}  // namespace monsoonmux::cell
--- a/src/cell/testing/fake_cell.h
+++ b/src/cell/testing/fake_cell.h
@@ -65,8 +65,10 @@
 // store, with faults.
 class fake_cell {
  public:
-  fake_cell(int daemon_count, int runner_count, std::uint32_t seed)
-      : events(log_descriptor(), loop, "test"), store(loop, seed), random(seed) {
+  // `common`: options of all its daemons; names and addresses are filled in.
+  fake_cell(int daemon_count, int runner_count, std::uint32_t seed,
+            const daemon_options& common = {})
+      : common_options(common), events(log_descriptor(), loop, "test"), store(loop, seed), random(seed) {
     queue_config queue;
     queue.name = queue_id("q");
     queue.host = "h";
@@ -101,7 +103,7 @@
           sources(cell.config, cell.runners) {}
 
     void boot(fake_cell& cell) {
-      daemon_options options;
+      daemon_options options = cell.common_options;
       options.self = daemon_id(this->name);
       options.address = this->name;
       options.peer_port = 1;
@@ -173,11 +175,33 @@
     return spec;
   }
 
+  // What a caller at this daemon is told within `wait`; nothing if that is too short.
+  std::optional<result<std::optional<job_phase>>> ask(int daemon, const std::string& id,
+                                                      millis wait) {
+    auto told = std::make_shared<std::optional<result<std::optional<job_phase>>>>();
+    this->nodes[static_cast<std::size_t>(daemon)]->daemon->desk().find_phase(
+        job_id(id), this->loop.now() + wait,
+        [told](const result<std::optional<job_phase>>& phase) { *told = phase; });
+    this->loop.run_for(wait);
+    return *told;
+  }
+  // Daemons that read the records of the work.
+  std::vector<int> followers() const {
+    std::vector<int> out;
+    for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+      if (this->nodes[i]->daemon && this->nodes[i]->daemon->follows_work()) {
+        out.push_back(static_cast<int>(i));
+      }
+    }
+    return out;
+  }
+
   static int log_descriptor() {
     return std::getenv("MONSOONMUX_ONLY_SEED") != nullptr ? 1 : ::open("/dev/null", O_WRONLY);
   }
   static constexpr resources runner_size{millicores{4'000}, mebibytes{4'000}, devices{0}};
 
+  const daemon_options common_options;
   fake_loop loop;
   event_log events;
   fake_store store;
--- /dev/null
+++ b/src/cell/testing/follow_test.cc
@@ -0,0 +1,159 @@
+// Cells in which only some daemons read the work: what callers of the others get.
+
+#include <catch2/catch.hpp>
+
+#include "cell/testing/fake_cell.h"
+
+namespace monsoonmux::cell {
+namespace {
+
+constexpr millis settle_time{8'000};
+constexpr int daemons = 6;
+const std::string job = "job1";
+
+daemon_options one_standby() {
+  daemon_options out;
+  out.beats.standbys = {.most = 1, .least = 1};
+  return out;
+}
+
+int owner_of(const fake_cell& cell) {
+  for (std::size_t i = 0; i < cell.nodes.size(); ++i) {
+    if (cell.nodes[i]->daemon && cell.nodes[i]->daemon->owns()) {
+      return static_cast<int>(i);
+    }
+  }
+  return -1;
+}
+
+// A daemon that is up and does not read the work.
+int other_daemon(const fake_cell& cell) {
+  const std::vector<int> followers = cell.followers();
+  for (int i = 0; i < daemons; ++i) {
+    const bool up = cell.nodes[static_cast<std::size_t>(i)]->daemon != nullptr;
+    if (up && std::find(followers.begin(), followers.end(), i) == followers.end()) {
+      return i;
+    }
+  }
+  return -1;
+}
+
+TEST_CASE("Only the owner and its standbys read the work") {
+  fake_cell cell(daemons, 4, 1, one_standby());
+  cell.loop.run_for(settle_time);
+  CHECK(cell.followers().size() == 2);
+  for (const auto& node : cell.nodes) {
+    CHECK(node->daemon->ready());
+  }
+}
+
+TEST_CASE("A daemon that does not read the work takes jobs and knows how they are") {
+  fake_cell cell(daemons, 4, 2, one_standby());
+  cell.loop.run_for(settle_time);
+  const int other = other_daemon(cell);
+  REQUIRE(other >= 0);
+  cell.submit(other, job, fake_cell::simple_job(3));
+  cell.loop.run_for(millis{300});
+  CHECK(cell.accepted.contains(job));
+  constexpr millis at_once{20};
+  const auto early = cell.ask(other, job, at_once);
+  REQUIRE(early);
+  CHECK(early->value() == job_phase::running);
+  cell.loop.run_for(millis{3'000});
+  CHECK(cell.ask(other, job, at_once)->value() == job_phase::completed);
+  CHECK(cell.ask(other, "nobody", at_once)->value() == std::nullopt);
+  CHECK(cell.history.starts == 3);
+}
+
+TEST_CASE("A job can be cancelled at a daemon that does not read the work") {
+  fake_cell cell(daemons, 1, 3, one_standby());
+  cell.loop.run_for(settle_time);
+  cell.runners[0]->task_time = millis{60'000};
+  const int other = other_daemon(cell);
+  cell.submit(other, job, fake_cell::simple_job(2));
+  cell.loop.run_for(millis{500});
+  job_desk& desk = cell.nodes[static_cast<std::size_t>(other)]->daemon->desk();
+  std::optional<bool> cancelled;
+  std::optional<bool> unknown;
+  const caller from = desk.identify("h", "/q/", "").value();
+  desk.cancel(from, job_id(job), cell.loop.now() + millis{1'000},
+              [&cancelled](const result<bool>& answer) { cancelled = answer.value(); });
+  desk.cancel(from, job_id("nobody"), cell.loop.now() + millis{1'000},
+              [&unknown](const result<bool>& answer) { unknown = answer.value(); });
+  cell.loop.run_for(millis{1'000});
+  CHECK(cancelled == true);
+  CHECK(unknown == false);
+  CHECK(cell.ask(other, job, millis{20})->value() == job_phase::cancelled);
+}
+
+TEST_CASE("Lost datagrams put off what a caller is told, and make nothing up") {
+  fake_cell cell(daemons, 4, 4, one_standby());
+  cell.loop.run_for(settle_time);
+  const int other = other_daemon(cell);
+  cell.submit(other, job, fake_cell::simple_job(1));
+  cell.loop.run_for(millis{1'500});
+  cell.lost_datagrams = 0.5;
+  for (int i = 0; i < 30; ++i) {
+    const auto told = cell.ask(other, job, millis{2'500});
+    REQUIRE(told);
+    if (told->has_value()) {
+      CHECK(told->value() == job_phase::completed);
+    } else {
+      CHECK(told->error().effect == verdict::not_run);
+    }
+  }
+}
+
+TEST_CASE("A standby follows its owner, and the others choose with it") {
+  fake_cell cell(daemons, 4, 5, one_standby());
+  cell.loop.run_for(settle_time);
+  const std::vector<int> before = cell.followers();
+  const int first = owner_of(cell);
+  cell.submit(first, job, fake_cell::simple_job(3));
+  cell.loop.run_for(millis{300});
+  cell.nodes[static_cast<std::size_t>(first)]->kill();
+  constexpr millis takeover{1'300};
+  cell.loop.run_for(takeover);
+  const int next = owner_of(cell);
+  REQUIRE(next >= 0);
+  CHECK(std::find(before.begin(), before.end(), next) != before.end());
+  cell.loop.run_for(settle_time);
+  CHECK(cell.followers().size() == 2);
+  const auto told = cell.ask(other_daemon(cell), job, millis{20});
+  REQUIRE(told);
+  CHECK(told->value() == job_phase::completed);
+  CHECK(cell.history.broken.empty());
+}
+
+TEST_CASE("With all followers gone at once another daemon reads the work and goes on") {
+  fake_cell cell(daemons, 4, 6, one_standby());
+  cell.loop.run_for(settle_time);
+  cell.submit(0, job, fake_cell::simple_job(3));
+  cell.loop.run_for(millis{300});
+  REQUIRE(cell.accepted.contains(job));
+  for (const int follower : cell.followers()) {
+    cell.nodes[static_cast<std::size_t>(follower)]->kill();
+  }
+  cell.loop.run_for(settle_time);
+  REQUIRE(owner_of(cell) >= 0);
+  const auto told = cell.ask(other_daemon(cell), job, millis{20});
+  REQUIRE(told);
+  CHECK(told->value() == job_phase::completed);
+  CHECK(cell.history.broken.empty());
+}
+
+TEST_CASE("A daemon that no datagram reaches reads the work itself") {
+  fake_cell cell(daemons, 4, 7, one_standby());
+  cell.loop.run_for(settle_time);
+  const int other = other_daemon(cell);
+  cell.submit(other, job, fake_cell::simple_job(1));
+  cell.loop.run_for(millis{2'000});
+  cell.deaf.insert(cell.nodes[static_cast<std::size_t>(other)]->name);
+  cell.loop.run_for(settle_time);
+  const auto told = cell.ask(other, job, millis{20});
+  REQUIRE(told);
+  CHECK(told->value() == job_phase::completed);
+}
+
+}  // namespace
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/work_feed.cc
@@ -0,0 +1,55 @@
+#include "cell/work_feed.h"
+
+#include "cell/topics.h"
+
+namespace monsoonmux::cell {
+
+work_feed::work_feed(event_loop& loop, shared_log& source, const clock& now, event_log& out,
+                     follow_policy decides, const follower_options& given, handlers callbacks)
+    : io(loop),
+      log(source),
+      time(now),
+      events(out),
+      policy(std::move(decides)),
+      options(given),
+      on(std::move(callbacks)) {}
+
+work_feed::~work_feed() = default;
+
+void work_feed::update(bool needed) {
+  const bool wanted = needed || this->policy.follows(this->time.now());
+  if (wanted == this->follows()) {
+    return;
+  }
+  if (wanted) {
+    this->events.write("work_followed", {{"chosen", this->policy.chosen()}});
+    this->follower = std::make_unique<log_follower>(
+        this->io, this->log, this->time, this->events, work_topic, this->options,
+        log_follower::handlers{this->on.on_record, this->on.on_loaded, {}});
+    this->follower->start();
+    return;
+  }
+  this->events.write("work_left_to_others", {{"next", this->follower->position()}});
+  this->follower.reset();
+  this->on.on_closed();
+  this->jobs.clear();
+}
+
+void work_feed::owner_heard(std::optional<bool> chosen) {
+  this->policy.owner_heard(this->time.now(), chosen.value_or(this->follows()));
+}
+
+void work_feed::pace(millis min_interval) {
+  this->options.min_interval = min_interval;
+  if (this->follower) {
+    this->follower->pace(min_interval);
+  }
+}
+
+void work_feed::hurry() {
+  if (this->follower) {
+    this->follower->hurry();
+  }
+}
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/decide/follow_policy.cc
@@ -0,0 +1,32 @@
+#include "decide/follow_policy.h"
+
+namespace monsoonmux::cell {
+
+follow_policy::follow_policy(const std::string& self, double strength, instant started,
+                             const follow_options& given)
+    : options(given),
+      strong(strength >= given.strong),
+      wait(this->strong
+               ? given.strong_wait
+               : given.weak_wait + millis{static_cast<std::int64_t>(
+                                       std::hash<std::string>{}(self) %
+                                       static_cast<std::uint64_t>(given.weak_spread.value))}),
+      heard(started) {}
+
+void follow_policy::owner_heard(instant now, bool chosen) {
+  this->ever_heard = true;
+  this->heard = now;
+  this->is_chosen = chosen;
+  if (chosen) {
+    this->chosen_until = now + this->options.linger;
+  }
+}
+
+bool follow_policy::follows(instant now) const {
+  if (this->strong && !this->ever_heard) {
+    return true;
+  }
+  return this->is_chosen || now < this->chosen_until || now - this->heard >= this->wait;
+}
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/decide/testing/standby_choice_test.cc
@@ -0,0 +1,70 @@
+#include "decide/standby_choice.h"
+
+#include <catch2/catch.hpp>
+
+#include "decide/follow_policy.h"
+
+namespace monsoonmux::cell {
+namespace {
+
+standby_candidate host(const std::string& name, const std::string& zone, double strength) {
+  return {name, domain_id(zone), strength};
+}
+
+using names = std::vector<std::string>;
+
+TEST_CASE("The strongest host of each other zone comes first") {
+  const auto chosen = choose_standbys(
+      {host("a1", "a", 1), host("a2", "a", 1), host("b1", "b", 0.5), host("c1", "c", 0.6)},
+      domain_id("a"), {.most = 3});
+  CHECK(chosen == names{"c1", "b1", "a1"});
+}
+
+TEST_CASE("Weak hosts do not follow beside strong ones") {
+  const auto chosen = choose_standbys(
+      {host("a1", "a", 1), host("b1", "b", 0.9), host("b2", "b", 0.02), host("c1", "c", 0.02)},
+      domain_id("z"));
+  CHECK(chosen == names{"a1", "b1"});
+}
+
+TEST_CASE("There are successors even if all others are weak") {
+  const auto chosen = choose_standbys(
+      {host("a1", "a", 1), host("b1", "b", 0.02), host("c1", "c", 0.03)}, domain_id("a"));
+  CHECK(chosen == names{"a1", "c1"});
+  CHECK(choose_standbys({}, domain_id("a")).empty());
+}
+
+TEST_CASE("Equal hosts give the same choice whatever their order") {
+  const auto one = choose_standbys({host("x", "a", 1), host("y", "a", 1), host("z", "b", 1)},
+                                   domain_id("c"), {.most = 2});
+  const auto other = choose_standbys({host("z", "b", 1), host("y", "a", 1), host("x", "a", 1)},
+                                     domain_id("c"), {.most = 2});
+  CHECK(one == other);
+}
+
+TEST_CASE("A strong daemon follows at once, until an owner did not choose it") {
+  const instant start{1'000};
+  follow_policy policy("d", 1, start);
+  CHECK(policy.follows(start));
+  policy.owner_heard(start, false);
+  CHECK_FALSE(policy.follows(start));
+  CHECK_FALSE(policy.follows(start + follow_options{}.strong_wait - millis{1}));
+  CHECK(policy.follows(start + follow_options{}.strong_wait));
+}
+
+TEST_CASE("A weak daemon waits for an owner that does not need it") {
+  const instant start{1'000};
+  const follow_options options;
+  follow_policy policy("d", 0.01, start);
+  CHECK_FALSE(policy.follows(start + options.weak_wait - millis{1}));
+  CHECK(policy.follows(start + options.weak_wait + options.weak_spread));
+  policy.owner_heard(start, true);
+  CHECK(policy.follows(start));
+  policy.owner_heard(start, false);
+  CHECK(policy.follows(start + options.linger - millis{1}));
+  policy.owner_heard(start + options.linger, false);
+  CHECK_FALSE(policy.follows(start + options.linger));
+}
+
+}  // namespace
+}  // namespace monsoonmux::cell
