Orders to runners go through agents

Change: daemons carry an owner's orders to the runners that agent_book gives them, by the strength of their hosts and their zone: one message each way for all runners of an agent (agent_pool, runner_agent, over TCP). Sessions and their rules stay: an agent is a slow network to them. An owner of 64 runners or fewer speaks to them itself. Orders now name a time on the agent's clock, reckoned from its last sign of life, after which they are not carried out. Tests: agent_test (freezes, cuts, both, real connections), agent_book_test, random cells through agents; the reborn runner's test fails without its mend.

--- a/src/cell/cell_daemon.cc
+++ b/src/cell/cell_daemon.cc
@@ -159,9 +159,9 @@
 }
 
 void cell_daemon::begin_ownership() {
-  const owner_services services{this->io,          this->ports.log, this->ports.runners,
-                                this->ports.peers, this->advice,    this->time,
-                                this->events,      this->metrics};
+  const owner_services services{this->io,           this->ports.log,   this->ports.runners,
+                                this->ports.dialer, this->ports.peers, this->advice,
+                                this->time,         this->events,      this->metrics};
   this->orders = std::make_unique<owner>(
       services, this->options.self, this->owned, this->claim.former_orders_until(),
       this->options.owner,
@@ -371,9 +371,10 @@
   } else if (const auto* const beat_heard = std::get_if<owner_beat_message>(&message.body)) {
     this->hear_beat(*beat_heard, from);
   } else if (std::holds_alternative<hello_message>(message.body)) {
-    this->beat.heard(message.sender, from, std::get<hello_message>(message.body));
+    const auto& hello = std::get<hello_message>(message.body);
+    this->beat.heard(message.sender, from, hello);
     if (this->orders) {
-      this->orders->heard(message.sender, from);
+      this->orders->heard(message.sender, from, hello);
     }
   } else if (const auto* const wanted = std::get_if<store_request_message>(&message.body)) {
     this->store_for_peer(message.sender, *wanted, from);
--- a/src/cell/cell_daemon.h
+++ b/src/cell/cell_daemon.h
@@ -59,6 +59,7 @@
 struct daemon_ports {
   shared_log& log;
   runner_port& runners;
+  frame_dialer& dialer;
   advice_port& advice;
   peer_port& peers;
   const cell_sources& sources;
--- /dev/null
+++ b/src/cell/frame_link.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "cell/peer_port.h"
+
+namespace monsoonmux::cell {
+
+// One connection between two daemons. Frames arrive whole and in order until it breaks;
+// then some may be lost, and nothing more arrives.
+class frame_link {
+ public:
+  virtual ~frame_link() = default;
+  virtual void send(std::string frame) = 0;
+};
+
+struct frame_handlers {
+  std::function<void(std::string frame)> on_frame;
+  // Called once, and not from inside send(): the peer closed, or cannot be reached.
+  std::function<void()> on_broken;
+};
+
+// Opens connections to other daemons.
+class frame_dialer {
+ public:
+  virtual ~frame_dialer() = default;
+  // Frames may be sent at once; they leave when the connection stands. Destroying the
+  // link closes it, and its handlers are not called after that.
+  virtual std::unique_ptr<frame_link> dial(const peer_address& to, frame_handlers on) = 0;
+};
+
+}  // namespace monsoonmux::cell
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -34,6 +34,8 @@
                         const std::vector<ticket>& tickets) {
                    this->advised(step, asked, answered, tickets);
                  }),
+      agents(given.io, given.runners, given.dialer, given.time, given.events, given.metrics,
+             chosen.agents),
       plan_timer(given.io),
       ticker(given.io) {
   this->inherited_until =
@@ -54,7 +56,7 @@
 runner_session& owner::session_of(const std::string& runner) {
   auto& session = this->sessions[runner];
   if (!session) {
-    session = std::make_unique<runner_session>(this->services.runners, this->services.time,
+    session = std::make_unique<runner_session>(this->agents, this->services.time,
                                                this->services.events, *this, runner, this->at,
                                                this->inherited_until, this->options.session);
   }
@@ -100,6 +102,7 @@
   runner_state* const before = this->state.runners.find(entry.id);
   const bool was_draining = before != nullptr && before->entry.draining;
   this->state.runners.update(entry);
+  this->agents.runner_listed(entry.id, entry.zone);
   if (entry.draining && !was_draining) {
     this->services.events.write("runner_draining", {{"runner", entry.id}});
   }
@@ -278,8 +281,9 @@
   this->on.on_over("runner " + runner + " has seen a higher token");
 }
 
-void owner::heard(const std::string& daemon, const peer_address& from) {
+void owner::heard(const std::string& daemon, const peer_address& from, const hello_message& hello) {
   this->dispatcher.heard(daemon, from);
+  this->agents.heard(daemon, from, hello.zone, hello.strength);
 }
 
 void owner::advice_answered(const advice_answer_message& answer) {
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -9,6 +9,7 @@
 #include "async/event_log.h"
 #include "base/clock.h"
 #include "cell/advice_dispatcher.h"
+#include "cell/agent_pool.h"
 #include "cell/progress_writer.h"
 #include "cell/runner_session.h"
 #include "decide/job_book.h"
@@ -18,6 +19,7 @@
 
 struct owner_options {
   session_options session;
+  pool_options agents;
   placer_options placement;
   millis plan_delay{2};  // Changes within this time are planned for together.
   // After a round, this many times its duration is left to everything else.
@@ -37,6 +39,7 @@
   event_loop& io;
   shared_log& log;
   runner_port& runners;
+  frame_dialer& dialer;  // To daemons that carry orders.
   peer_port& peers;
   advice_desk& advice;
   const clock& time;
@@ -82,8 +85,8 @@
   void store(keyed_record record, std::function<void()> on_stored) {
     this->writer.append(std::move(record), std::move(on_stored));
   }
-  // A peer is there and can be asked for advice.
-  void heard(const std::string& daemon, const peer_address& from);
+  // A peer is there: it can be asked for advice, and carry orders.
+  void heard(const std::string& daemon, const peer_address& from, const hello_message& hello);
   void advice_answered(const advice_answer_message& answer);
   // True while what it writes gets into the log.
   bool writes() const { return this->writer.flows(); }
@@ -132,6 +135,7 @@
   placer planner;
   progress_writer writer;
   advice_dispatcher dispatcher;
+  agent_pool agents;
   timer plan_timer;
   timer ticker;
   std::map<std::string, std::unique_ptr<runner_session>> sessions;
--- a/src/cell/runner_port.h
+++ b/src/cell/runner_port.h
@@ -1,6 +1,10 @@
 #pragma once
 
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -16,6 +20,11 @@
   std::string address;
   std::string instance;  // Any other incarnation at the address refuses.
   epoch token;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->address, this->instance, this->token);
+  }
 };
 
 struct start_order {
@@ -26,6 +35,12 @@
   std::int64_t until_ms = 0;  // Lease end, on the runner's clock.
   std::string checkpoint;
   std::string ticket;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->target, this->task, this->run, this->payload, this->until_ms, this->checkpoint,
+            this->ticket);
+  }
 };
 
 enum class order_status {
@@ -45,12 +60,22 @@
 struct order_answer {
   order_status status = order_status::unknown;
   std::optional<std::int64_t> clock_ms;  // The runner's clock.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->status, this->clock_ms);
+  }
 };
 
 struct stop_order {
   order_target target;
   std::string task;
   std::int32_t run = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->target, this->task, this->run);
+  }
 };
 
 // Extends the lease of all that runs there, notes ends as seen, and looks.
@@ -59,6 +84,11 @@
   std::optional<std::int64_t> until_ms;
   std::int64_t last_seen = 0;  // Ends up to this number may be forgotten.
   millis wait{0};              // For an end to happen.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->target, this->until_ms, this->last_seen, this->wait);
+  }
 };
 
 struct running_run {
@@ -66,6 +96,11 @@
   std::int32_t run = 0;
   std::string checkpoint;
   std::int32_t percent = 100;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->task, this->run, this->checkpoint, this->percent);
+  }
 };
 
 struct finished_run {
@@ -74,6 +109,11 @@
   std::int32_t run = 0;
   run_end how = run_end::lost;
   std::string checkpoint;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->number, this->task, this->run, this->how, this->checkpoint);
+  }
 };
 
 struct hold_report {
@@ -81,11 +121,21 @@
   std::int64_t clock_ms = 0;
   std::vector<running_run> running;
   std::vector<finished_run> finished;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->born, this->clock_ms, this->running, this->finished);
+  }
 };
 
 struct hold_answer {
   order_status status = order_status::unknown;
   hold_report report;  // With done.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->status, this->report);
+  }
 };
 
 // Orders to runners.
--- /dev/null
+++ b/src/cell/testing/agent_test.cc
@@ -0,0 +1,276 @@
+// Orders that go through other daemons: what an owner's sessions see when agents break,
+// freeze or are late, and frames over real connections.
+
+#include <asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+
+#include "cell/agent_listener.h"
+#include "cell/agent_pool.h"
+#include "cell/asio_loop.h"
+#include "cell/testing/fake_cell.h"
+
+namespace monsoonmux::cell {
+namespace {
+
+constexpr millis settle_time{6'000};
+
+daemon_options through_agents() {
+  daemon_options out;
+  out.owner.agents.book.direct_runners = 0;
+  return out;
+}
+
+int owner_of(const fake_cell& cell) {
+  for (std::size_t i = 0; i < cell.nodes.size(); ++i) {
+    if (cell.nodes[i]->daemon && cell.nodes[i]->daemon->owns()) {
+      return static_cast<int>(i);
+    }
+  }
+  return -1;
+}
+
+// A daemon other than the owner.
+int agent_of(const fake_cell& cell) {
+  return (owner_of(cell) + 1) % static_cast<int>(cell.nodes.size());
+}
+
+std::string job_name(int i) {
+  return "job" + std::to_string(1'000 + i);
+}
+
+void check_completed(fake_cell& cell, int jobs, std::int64_t tasks) {
+  for (int i = 0; i < jobs; ++i) {
+    CHECK(cell.phase(job_name(i)) == job_phase::completed);
+  }
+  CHECK(cell.history.starts >= tasks);
+  for (const std::string& broken : cell.history.broken) {
+    FAIL_CHECK(broken);
+  }
+}
+
+TEST_CASE("Jobs are done through agents, and the owner calls no runner itself") {
+  fake_cell cell(3, 4, 1, through_agents());
+  cell.loop.run_for(settle_time);
+  const int owner = owner_of(cell);
+  REQUIRE(owner >= 0);
+  const std::int64_t before = cell.nodes[static_cast<std::size_t>(owner)]->orders.sent;
+  for (int i = 0; i < 10; ++i) {
+    cell.submit(i % 3, job_name(i), fake_cell::simple_job(3));
+  }
+  cell.loop.run_for(millis{12'000});
+  check_completed(cell, 10, 30);
+  CHECK(cell.history.starts == 30);
+  CHECK(cell.nodes[static_cast<std::size_t>(owner)]->orders.sent == before);
+}
+
+TEST_CASE("When an agent dies its runners are carried by others") {
+  fake_cell cell(3, 4, 2, through_agents());
+  cell.loop.run_for(settle_time);
+  cell.submit(owner_of(cell), job_name(0), fake_cell::simple_job(12));
+  cell.loop.run_for(millis{200});
+  cell.nodes[static_cast<std::size_t>(agent_of(cell))]->kill();
+  cell.submit(owner_of(cell), job_name(1), fake_cell::simple_job(12));
+  constexpr millis long_before_a_lease_lapses{5'500};
+  cell.loop.run_for(long_before_a_lease_lapses);
+  check_completed(cell, 2, 24);
+}
+
+TEST_CASE("Orders that a frozen agent carries out late start nothing twice") {
+  for (std::uint32_t seed = 1; seed <= 40; ++seed) {
+    INFO("seed " << seed);
+    fake_cell cell(3, 4, seed, through_agents());
+    cell.loop.run_for(settle_time + millis{seed * 7});
+    const int owner = owner_of(cell);
+    REQUIRE(owner >= 0);
+    cell.submit(owner, job_name(0), fake_cell::simple_job(12));
+    cell.loop.run_for(millis{5 + seed % 30});
+    auto& agent = *cell.nodes[static_cast<std::size_t>(agent_of(cell))];
+    agent.process.freeze_until(cell.loop.now() + millis{2'500});
+    cell.submit(owner, job_name(1), fake_cell::simple_job(12));
+    cell.loop.run_for(millis{15'000});
+    check_completed(cell, 2, 24);
+  }
+}
+
+TEST_CASE("A frozen agent gives no order to a runner that was reborn meanwhile") {
+  fake_cell cell(3, 1, 1, through_agents());
+  cell.loop.run_for(settle_time);
+  const int owner = owner_of(cell);
+  REQUIRE(owner >= 0);
+  cell.submit(owner, job_name(0), fake_cell::simple_job(2));
+  cell.loop.run_for(millis{2'000});
+  check_completed(cell, 1, 2);
+  for (auto& node : cell.nodes) {
+    if (!node->daemon->owns()) {
+      node->process.freeze_until(cell.loop.now() + millis{5'000});
+    }
+  }
+  cell.submit(owner, job_name(1), fake_cell::simple_job(2));
+  cell.loop.run_for(millis{3'800});
+  check_completed(cell, 2, 4);  // The owner gave the orders itself.
+  cell.runners[0]->crash();
+  cell.runners[0]->restart();
+  cell.loop.run_for(millis{8'000});
+  CHECK(cell.history.starts == 4);
+  check_completed(cell, 2, 4);
+}
+
+TEST_CASE("An agent that is cut off from the owner and not from runners starts nothing twice") {
+  for (std::uint32_t seed = 1; seed <= 40; ++seed) {
+    INFO("seed " << seed);
+    fake_cell cell(3, 4, seed, through_agents());
+    cell.loop.run_for(settle_time);
+    const int owner = owner_of(cell);
+    REQUIRE(owner >= 0);
+    cell.submit(owner, job_name(0), fake_cell::simple_job(12));
+    cell.loop.run_for(millis{5 + seed});
+    cell.deaf.insert(cell.nodes[static_cast<std::size_t>(agent_of(cell))]->name);
+    cell.submit(owner, job_name(1), fake_cell::simple_job(12));
+    cell.loop.run_for(millis{3'000});
+    cell.deaf.clear();
+    cell.loop.run_for(millis{12'000});
+    check_completed(cell, 2, 24);
+  }
+}
+
+TEST_CASE("An owner and an agent that freeze together are followed, and nothing runs twice") {
+  for (std::uint32_t seed = 1; seed <= 40; ++seed) {
+    INFO("seed " << seed);
+    fake_cell cell(4, 4, seed, through_agents());
+    cell.loop.run_for(settle_time);
+    const int owner = owner_of(cell);
+    REQUIRE(owner >= 0);
+    cell.submit(owner, job_name(0), fake_cell::simple_job(12));
+    cell.loop.run_for(millis{5 + seed});
+    const instant thaw = cell.loop.now() + millis{4'000};
+    cell.nodes[static_cast<std::size_t>(agent_of(cell))]->process.freeze_until(thaw);
+    cell.nodes[static_cast<std::size_t>(owner)]->process.freeze_until(thaw);
+    cell.submit((owner + 2) % 4, job_name(1), fake_cell::simple_job(12));
+    cell.loop.run_for(millis{20'000});
+    check_completed(cell, 2, 24);
+  }
+}
+
+// Answers each order at once, and keeps it.
+class recording_runners final : public runner_port {
+ public:
+  void start(const start_order& order, std::function<void(order_answer)> on_answer) override {
+    this->starts.push_back(order);
+    on_answer({order_status::done, 7});
+  }
+  void stop(const stop_order&, std::function<void(order_answer)> on_answer) override {
+    on_answer({order_status::done, 7});
+  }
+  void hold(const hold_order& order, std::function<void(hold_answer)> on_answer) override {
+    hold_answer out;
+    out.status = order_status::done;
+    out.report.born = 5;
+    out.report.running.push_back({"j.0.0.1", 2, "", 41});
+    out.report.finished.push_back({order.last_seen + 1, "j.0.0.0", 1, run_end::failed, "c"});
+    on_answer(out);
+  }
+  std::vector<start_order> starts;
+};
+
+// An owner's pool and an agent in one event loop, over a real connection.
+struct real_pair {
+  static constexpr std::uint16_t agent_port = 17'391;
+  asio::io_context io{1};
+  asio_loop loop{io};
+  system_clock time;
+  event_log events{fake_cell::log_descriptor(), time, "test"};
+  counters metrics;
+  recording_runners runners;
+  recording_runners direct;
+  runner_agent agent{loop, runners, time, events};
+  std::optional<agent_listener> listener;
+  tcp_dialer dialer{io};
+  agent_pool pool{loop, direct, dialer, time, events, metrics, {.book = {.direct_runners = 0}}};
+
+  real_pair() {
+    this->listener.emplace(this->io, this->loop, this->time, this->events, this->agent, "127.0.0.1",
+                           agent_port);
+    this->pool.heard("a", {"127.0.0.1", agent_port}, domain_id("z"), 1);
+    this->pool.runner_listed("r", domain_id("z"));
+  }
+  // Until `done`, for some seconds at most.
+  template <class Condition>
+  bool run_until(Condition done) {
+    const instant end = this->time.now() + millis{8'000};
+    while (!done() && this->time.now() < end) {
+      this->io.run_for(std::chrono::milliseconds(5));
+    }
+    return done();
+  }
+};
+
+start_order order_to(const std::string& runner) {
+  start_order out;
+  out.target = {"127.0.0.1:1", runner, epoch{3}};
+  out.task = "j.0.0.0";
+  out.run = 2;
+  out.payload = std::string(4'000, 'x');
+  out.until_ms = 9;
+  out.checkpoint = "saved";
+  out.ticket = "t";
+  return out;
+}
+
+TEST_CASE("Orders and answers pass a real connection whole") {
+  real_pair pair;
+  int started = 0;
+  std::optional<hold_answer> report;
+  constexpr int many = 2'000;
+  for (int i = 0; i < many; ++i) {
+    pair.pool.start(order_to("r"), [&started](const order_answer& answer) {
+      started += answer.status == order_status::done && answer.clock_ms == 7 ? 1 : 0;
+    });
+  }
+  hold_order look;
+  look.target.instance = "r";
+  look.last_seen = 4;
+  pair.pool.hold(look, [&report](const hold_answer& answer) { report = answer; });
+  REQUIRE(pair.run_until([&] { return started == many && report.has_value(); }));
+  CHECK(pair.direct.starts.empty());
+  REQUIRE(pair.runners.starts.size() == many);
+  const start_order& arrived = pair.runners.starts.back();
+  CHECK(arrived.payload == order_to("r").payload);
+  CHECK(arrived.target.token == epoch{3});
+  CHECK(arrived.checkpoint == "saved");
+  REQUIRE(report->report.finished.size() == 1);
+  CHECK(report->report.finished[0].number == 5);
+  CHECK(report->report.finished[0].how == run_end::failed);
+  CHECK(report->report.running[0].percent == 41);
+}
+
+TEST_CASE("Orders to an agent that is not there have an unknown fate, and then go directly") {
+  real_pair pair;
+  pair.listener.reset();
+  std::optional<order_status> first;
+  std::optional<order_status> second;
+  pair.pool.start(order_to("r"), [&](const order_answer& answer) { first = answer.status; });
+  REQUIRE(pair.run_until([&] { return first.has_value(); }));
+  CHECK(first == order_status::unknown);
+  pair.pool.start(order_to("r"), [&](const order_answer& answer) { second = answer.status; });
+  REQUIRE(pair.run_until([&] { return second.has_value(); }));
+  CHECK(second == order_status::done);
+  CHECK(pair.direct.starts.size() == 1);
+}
+
+TEST_CASE("Bytes that are no orders close the connection and nothing else") {
+  real_pair pair;
+  bool broken = false;
+  std::string frame = encode(order_batch{never, {{1, order_to("r")}}});
+  const auto foreign = pair.dialer.dial({"127.0.0.1", real_pair::agent_port},
+                                        {[](const std::string&) {}, [&broken] { broken = true; }});
+  foreign->send(frame.substr(0, frame.size() / 2));
+  REQUIRE(pair.run_until([&] { return broken || pair.metrics.text().size() > 1'000'000; }));
+  CHECK(pair.runners.starts.empty());
+  bool done = false;
+  pair.pool.start(order_to("r"), [&done](const order_answer&) { done = true; });
+  CHECK(pair.run_until([&] { return done; }));
+}
+
+}  // namespace
+}  // namespace monsoonmux::cell
--- a/src/cell/testing/cell_test.cc
+++ b/src/cell/testing/cell_test.cc
@@ -378,9 +378,14 @@
 
 // Draws faults for some seconds, heals everything, and checks that what was
 // accepted is completed and that nothing ran twice, late or after a refusal.
-void random_day(std::uint32_t seed) {
-  INFO("seed " << seed);
-  fake_cell cell(3, 4, seed);
+// `through_agents`: other daemons carry the owner's orders.
+void random_day(std::uint32_t seed, bool through_agents) {
+  INFO("seed " << seed << (through_agents ? ", through agents" : ""));
+  daemon_options options;
+  if (through_agents) {
+    options.owner.agents.book.direct_runners = 0;
+  }
+  fake_cell cell(3, 4, seed, options);
   cell.loop.run_for(boot_time);
   auto& random = cell.random;
   for (auto& runner : cell.runners) {
@@ -496,11 +501,13 @@
 TEST_CASE("Whatever fails, nothing accepted is lost and nothing runs twice") {
   // To trace a seed: MONSOONMUX_ONLY_SEED plays just its day and prints it.
   if (const char* const only = std::getenv("MONSOONMUX_ONLY_SEED")) {
-    random_day(static_cast<std::uint32_t>(std::atoi(only)));
+    random_day(static_cast<std::uint32_t>(std::atoi(only)),
+               std::getenv("MONSOONMUX_THROUGH_AGENTS") != nullptr);
     return;
   }
   for (std::uint32_t seed = 1; seed <= seed_count(); ++seed) {
-    random_day(seed);
+    random_day(seed, false);
+    random_day(seed, true);
   }
 }
 
--- a/src/cell/testing/fake_cell.h
+++ b/src/cell/testing/fake_cell.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "cell/cell_daemon.h"
+#include "cell/testing/fake_frames.h"
 #include "cell/testing/fake_runners.h"
 #include "cell/testing/fake_store.h"
 
@@ -68,7 +69,10 @@
   // `common`: options of all its daemons; names and addresses are filled in.
   fake_cell(int daemon_count, int runner_count, std::uint32_t seed,
             const daemon_options& common = {})
-      : common_options(common), events(log_descriptor(), loop, "test"), store(loop, seed), random(seed) {
+      : common_options(common),
+        events(log_descriptor(), loop, "test"),
+        store(loop, seed),
+        random(seed) {
     queue_config queue;
     queue.name = queue_id("q");
     queue.host = "h";
@@ -92,6 +96,15 @@
     }
   }
 
+  // Connections reach from one node to another, so all processes end before any node.
+  ~fake_cell() {
+    for (auto& n : this->nodes) {
+      n->kill();
+    }
+  }
+  fake_cell(const fake_cell&) = delete;
+  fake_cell& operator=(const fake_cell&) = delete;
+
   struct node {
     node(fake_cell& cell, int index, std::uint32_t seed)
         : process(cell.loop),
@@ -99,6 +112,9 @@
           log(cell.store, this->process, this->name),
           orders(cell.loop, this->process, this->name, cell.runners, seed * 31 + index),
           peers(cell, this->name),
+          host{this->process, this->agent},
+          dialer(this->process, this->name, cell.deaf,
+                 [&cell](const std::string& to) { return cell.agent_host(to); }),
           events(log_descriptor(), cell.loop, this->name),
           sources(cell.config, cell.runners) {}
 
@@ -108,15 +124,19 @@
       options.address = this->name;
       options.peer_port = 1;
       options.owner.session.hold_max = millis{6'000};
-      this->daemon = std::make_unique<cell_daemon>(
-          this->process,
-          daemon_ports{this->log, this->orders, this->advice, this->peers, this->sources},
-          cell.loop, this->events, this->metrics, options);
+      this->agent =
+          std::make_unique<runner_agent>(this->process, this->orders, cell.loop, this->events);
+      this->daemon =
+          std::make_unique<cell_daemon>(this->process,
+                                        daemon_ports{this->log, this->orders, this->dialer,
+                                                     this->advice, this->peers, this->sources},
+                                        cell.loop, this->events, this->metrics, options);
       this->daemon->start();
     }
     void kill() {
       this->process.kill();
       this->daemon.reset();
+      this->agent.reset();
     }
 
     fake_process process;
@@ -125,6 +145,9 @@
     fake_runner_port orders;
     no_advice advice;
     fake_peers peers;
+    std::unique_ptr<runner_agent> agent;
+    fake_agent_host host;
+    fake_dialer dialer;
     event_log events;
     fake_sources sources;
     counters metrics;
@@ -175,6 +198,15 @@
     return spec;
   }
 
+  fake_agent_host* agent_host(const std::string& name) {
+    for (auto& n : this->nodes) {
+      if (n->name == name) {
+        return &n->host;
+      }
+    }
+    return nullptr;
+  }
+
   // What a caller at this daemon is told within `wait`; nothing if that is too short.
   std::optional<result<std::optional<job_phase>>> ask(int daemon, const std::string& id,
                                                       millis wait) {
--- a/src/cell/testing/fake_runners.h
+++ b/src/cell/testing/fake_runners.h
@@ -263,6 +263,8 @@
                             });
   }
 
+  std::int64_t sent = 0;  // Calls so far.
+
  private:
   static constexpr millis latency{1};
   static constexpr millis order_timeout{300};
@@ -300,6 +302,7 @@
   template <class Answer, class Serve>
   void call(const order_target& target, millis timeout, std::function<void(Answer)> on_answer,
             Answer no_answer, Answer refused, Serve serve) {
+    ++this->sent;
     auto open = std::make_shared<bool>(true);
     const std::uint64_t life = this->process.current_life();
     const auto settle = [open, on_answer](const Answer& value) {
--- /dev/null
+++ b/src/decide/agent_book.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "base/clock.h"
+#include "base/ids.h"
+
+namespace monsoonmux::cell {
+
+struct agent_options {
+  // An owner of so many runners or fewer speaks to them itself.
+  std::size_t direct_runners = 64;
+  // A daemon that was not heard for this long carries no runner.
+  millis silence{1'500};
+  // After its connection broke a daemon carries none for this long.
+  millis avoid_for{3'000};
+  // Hosts with less than this part of the strongest one's strength carry none.
+  double weakest_part = 0.1;
+  // A daemon of another zone counts as so much fuller: its bytes to the runner are dear.
+  double far_weight = 2;
+};
+
+// Which daemon carries an owner's orders to which runner.
+//
+// Answers the load of hundreds of runners, whose calls are more than the owner's host
+// can do beside its decisions. A runner stays with its agent while that is there;
+// otherwise it goes to the one that is least full for the strength of its host.
+class agent_book {
+ public:
+  explicit agent_book(const agent_options& options = {}) : options(options) {}
+
+  void heard(const std::string& daemon, const domain_id& zone, double strength, instant now);
+  // The connection to the daemon broke: its runners go to others.
+  void broke(const std::string& daemon, instant now);
+  void runner_listed(const std::string& runner, const domain_id& zone);
+  void runner_gone(const std::string& runner);
+  // Nothing: the owner speaks to the runner itself.
+  std::optional<std::string> agent_of(const std::string& runner, instant now);
+  std::size_t carried_by(const std::string& daemon) const;
+
+ private:
+  struct agent {
+    domain_id zone;
+    double strength = 0;
+    instant heard{0};
+    instant avoid_until{0};
+    std::size_t carried = 0;
+  };
+  struct carried_runner {
+    domain_id zone;
+    std::string agent;  // Empty: none was chosen yet.
+  };
+
+  bool usable(const agent& a, instant now) const;
+  double strongest(instant now) const;
+  std::string choose(const domain_id& zone, instant now) const;
+  void release(carried_runner& runner);
+
+  const agent_options options;
+  std::map<std::string, agent> agents;
+  std::unordered_map<std::string, carried_runner> runners;
+};
+
+}  // namespace monsoonmux::cell
