Advice is asked for by need, and by as many daemons as there are

Change: the bound follows the daemons that ask; a question names runners with room now, as many as the step needs by its queue's share of good ones (learned), others only in a cell too full for that; what a step holds already is not asked for again; steps that ask at once begin with other runners. A round looks only at runners with a ticket, and only 400 blocked steps end it; claims and the daemons kept free for short questions grow with the cell. Ruled out: naming just as many as needed (2.4 questions a step; another question costs more than another runner), the emptiest first (all steps ask about the same).

--- a/src/cell/advice_dispatcher.cc
+++ b/src/cell/advice_dispatcher.cc
@@ -22,14 +22,24 @@
   this->peers[this->self.text].heard = never;
 }
 
-advice_dispatcher::peer* advice_dispatcher::least_busy(millis expected, std::string& name) {
+bool advice_dispatcher::is_here(const std::string& id, const peer& p) const {
   const instant now = this->time.now();
+  const bool heard = id == this->self.text || now - p.heard < this->options.peer_silence;
+  return heard && p.avoid_until <= now;
+}
+
+std::size_t advice_dispatcher::daemons() const {
+  return static_cast<std::size_t>(std::count_if(
+      this->peers.begin(), this->peers.end(),
+      [this](const auto& entry) { return this->is_here(entry.first, entry.second); }));
+}
+
+advice_dispatcher::peer* advice_dispatcher::least_busy(millis expected, std::string& name) {
   peer* best = nullptr;
   std::size_t here_in_all = 0;
   std::size_t free = 0;
   for (auto& [id, p] : this->peers) {
-    const bool here = id == this->self.text || now - p.heard < this->options.peer_silence;
-    if (!here || p.avoid_until > now) {
+    if (!this->is_here(id, p)) {
       continue;
     }
     ++here_in_all;
@@ -43,8 +53,11 @@
     }
   }
   const bool is_long = expected > this->options.long_question;
-  const bool can_keep_free = here_in_all > this->options.kept_free;
-  if (is_long && can_keep_free && free <= this->options.kept_free) {
+  const auto part =
+      static_cast<std::size_t>(this->options.part_kept_free * static_cast<double>(here_in_all));
+  const std::size_t kept_free = std::max(this->options.kept_free, part);
+  const bool can_keep_free = here_in_all > kept_free;
+  if (is_long && can_keep_free && free <= kept_free) {
     return nullptr;
   }
   return best;
--- a/src/cell/advice_dispatcher.h
+++ b/src/cell/advice_dispatcher.h
@@ -24,8 +24,9 @@
   // others, which would otherwise wait behind it.
   millis long_question{150};
   std::size_t kept_free = 2;
-  millis answer_margin{900};  // Beyond the expected duration of all it was asked.
-  millis penalty{2'000};      // For a daemon that did not answer.
+  double part_kept_free = 0.25;  // Of all daemons, where that is more.
+  millis answer_margin{900};     // Beyond the expected duration of all it was asked.
+  millis penalty{2'000};         // For a daemon that did not answer.
 };
 
 // Spreads the owner's questions to the advice service over all daemons, since the
@@ -44,6 +45,8 @@
   void heard(const std::string& daemon, const peer_address& from);
   void answered(const advice_answer_message& answer);
   void tick();
+  // How many daemons are there to be asked.
+  std::size_t daemons() const;
 
  private:
   struct peer {
@@ -59,6 +62,7 @@
     instant give_up;
   };
 
+  bool is_here(const std::string& id, const peer& p) const;
   peer* least_busy(millis expected, std::string& name);
   void settle(std::int64_t number, bool answered, const std::vector<ticket>& tickets);
 
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -304,7 +304,8 @@
     advice.retry_at = now + advice_retry;
     return;
   }
-  this->state.advice.answer(step, asked, tickets, now + queue->advice->valid - ticket_travel);
+  this->state.advice.answer(queue->name, step, asked, tickets,
+                            now + queue->advice->valid - ticket_travel);
   this->request_plan();
 }
 
@@ -362,6 +363,7 @@
       job.open_due(wall_ms);
     }
   }
+  this->state.advising_daemons = this->dispatcher.daemons();
   const plan decided = this->planner.decide(now, wall_ms);
   std::map<job_id, std::vector<placement>> by_job;
   for (const placement& p : decided.placements) {
--- a/src/decide/advice_book.cc
+++ b/src/decide/advice_book.cc
@@ -31,6 +31,26 @@
   }
 }
 
+void advice_book::answer(const queue_id& queue, const step_ref& step,
+                         const std::vector<std::string>& asked, const std::vector<ticket>& given,
+                         instant valid_until) {
+  const step_advice& before = this->steps[step];
+  tally& known = this->tallies[queue];
+  for (const std::string& runner : asked) {
+    known.asked += before.good.contains(runner) ? 0 : 1;
+  }
+  for (const ticket& t : given) {
+    known.good += before.good.contains(t.runner) ? 0 : 1;
+  }
+  this->answer(step, asked, given, valid_until);
+}
+
+double advice_book::good_share(const queue_id& queue) const {
+  const auto it = this->tallies.find(queue);
+  const tally known = it == this->tallies.end() ? tally() : it->second;
+  return known.good / known.asked;
+}
+
 std::string advice_book::ticket_for(const step_ref& step, const std::string& runner,
                                     instant now) const {
   const step_advice* const advice = this->find(step);
--- a/src/decide/advice_book.h
+++ b/src/decide/advice_book.h
@@ -44,13 +44,25 @@
   const step_advice* find(const step_ref& step) const;
   void answer(const step_ref& step, const std::vector<std::string>& asked,
               const std::vector<ticket>& given, instant valid_until);
+  // The same for a step of this queue, whose share of good runners is learned from it.
+  void answer(const queue_id& queue, const step_ref& step, const std::vector<std::string>& asked,
+              const std::vector<ticket>& given, instant valid_until);
+  // Of runners that a step of the queue was not asked about yet, how many are good.
+  double good_share(const queue_id& queue) const;
   // The ticket for a start now; empty if there is none that is still valid.
   std::string ticket_for(const step_ref& step, const std::string& runner, instant now) const;
   void drop_ticket(const step_ref& step, const std::string& runner);
   void forget(const job_id& job);
 
  private:
+  struct tally {
+    // As if so many had been asked about before anything was.
+    double asked = 10;
+    double good = 4;
+  };
+
   std::map<step_ref, step_advice> steps;
+  std::unordered_map<queue_id, tally> tallies;
 };
 
 }  // namespace monsoonmux::cell
--- a/src/decide/cell_state.h
+++ b/src/decide/cell_state.h
@@ -18,6 +18,8 @@
   runner_book runners;
   tenant_ledger tenants;
   advice_book advice;
+  // Daemons that ask the advice service, one question at a time each.
+  std::size_t advising_daemons = 8;
   run_time_book run_times;
 };
 
--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -114,6 +114,7 @@
   if (step.queue != nullptr && step.queue->advice) {
     step.advice = &this->state.advice.of(step.ref);
   }
+  this->find_candidates(step, now);
   if (!step.shape->gang) {
     if (this->place_tasks(step, now, out)) {
       return;
@@ -131,6 +132,21 @@
   this->wish_for_advice(step, now, out);
 }
 
+void placer::find_candidates(waiting_step& step, instant now) {
+  if (step.advice == nullptr) {
+    step.candidates = this->services[step.service.text].runners;
+    return;
+  }
+  const instant needed_until = now + this->options.ticket_margin;
+  for (const auto& [id, held] : step.advice->tickets) {
+    runner_state* const runner = this->state.runners.find(id);
+    if (held.valid_until > needed_until && runner != nullptr &&
+        runner->entry.service == step.service) {
+      step.candidates.push_back(runner);
+    }
+  }
+}
+
 bool placer::place_tasks(waiting_step& step, instant now, plan& out) {
   live_occurrence& occurrence = step.job->occurrences().at(step.ref.occurrence);
   live_step& tasks = occurrence.steps[static_cast<std::size_t>(step.ref.step)];
@@ -163,7 +179,7 @@
   // One rack first, if that matters; then any.
   std::vector<std::string> racks;
   if (step.shape->same_rack) {
-    for (const runner_state* runner : this->services[step.service.text].runners) {
+    for (const runner_state* runner : step.candidates) {
       racks.push_back(runner->entry.rack);
     }
     std::sort(racks.begin(), racks.end());
@@ -271,7 +287,7 @@
 placer::choice placer::best_runner(const waiting_step& step, const live_task& task, instant now,
                                    const std::string& only_rack) {
   choice best;
-  for (runner_state* runner : this->services[step.service.text].runners) {
+  for (runner_state* runner : step.candidates) {
     if ((!only_rack.empty() && runner->entry.rack != only_rack) ||
         !this->may_take(step, *runner, now)) {
       continue;
--- a/src/decide/placer.h
+++ b/src/decide/placer.h
@@ -57,20 +57,34 @@
 };
 
 struct placer_options {
-  // Runners that one question to the advice service names at most.
+  // Runners that one question to the advice service names at most, if the cell is so
+  // full that the step cannot start on as many as it needs.
   std::size_t runners_per_wish = 30;
+  // The same if all of them have room for it now.
+  std::size_t roomy_runners_per_wish = 90;
+  // So many more good runners with room are looked for than the step needs; other steps
+  // take some of the room meanwhile.
+  double spare_runners = 2;
+  // A question names so many runners with room, if there are, also where fewer would
+  // do: another question costs much more than another runner.
+  std::size_t least_named = 24;
   // The most urgent waiting steps of a service hold or get tickets, as many as
-  // questions of this much work are for; the others would only see theirs expire.
-  millis advice_window{4'000};
+  // questions of this much work for each daemon that asks are for; the others would
+  // only see theirs expire.
+  millis advice_window{500};
+  // A step that has nothing to ask looks again after this.
+  millis ask_again{40};
   // Blocked steps of one service whose reasons a round tells.
   std::size_t explained_steps = 2;
   // Questions of one service in one round.
   std::size_t questions = 16;
   // After so many steps of one service that found no runner, a round leaves the
   // less urgent ones alone; bounds what a round costs in an overloaded cell.
-  std::size_t blocked_steps = 64;
+  std::size_t blocked_steps = 400;
   // Gangs and steps of large tasks, of one service, that hold runners back.
   std::size_t claiming_steps = 2;
+  // One more for each so many runners, where that is more.
+  std::size_t runners_per_claim = 16;
   // A task is large if it needs this part of its service's largest runner: it would
   // wait for ever beside a stream of small ones that take whatever gets free.
   double large_part = 0.25;
@@ -92,8 +106,8 @@
 // allowed to run it, and suits it best; a gang takes all its runners or none.
 // Nothing is ever placed beyond a runner's capacity or a tenant's limit.
 //
-// It answers the load of a full cell: a round costs (waiting steps) x (runners of
-// the service), and a service without room is skipped.
+// It answers the load of a full cell of hundreds of runners: a round costs (waiting
+// steps) x (runners with a ticket for the step), and a service without room is skipped.
 class placer {
  public:
   placer(cell_state& state, const placer_options& options = {});
@@ -111,6 +125,9 @@
     advice_book::step_advice* advice = nullptr;  // Null: the queue needs none.
     std::vector<std::int32_t> tasks;
     bool ahead = false;  // Not ready yet; only asks for advice.
+    // Runners that it may start on if they have room: with advice, those whose tickets
+    // are valid, a few of the service's many.
+    std::vector<runner_state*> candidates;
   };
   struct choice {
     runner_state* runner = nullptr;
@@ -151,7 +168,20 @@
   std::size_t members_that_fit(const waiting_step& step, const runner_state& runner) const;
   bool yields_to_claim(const waiting_step& step, const runner_state& runner, instant now) const;
   void wish_for_advice(const waiting_step& step, instant now, plan& out);
+  // A runner that the advice service may be asked about.
+  struct ask_option {
+    runner_state* runner = nullptr;
+    double starts = 0;  // Of the step that may be expected of it now.
+    bool asked = false;
+    std::size_t turn = 0;  // Where it stands among those with room; other for each step.
+  };
+
+  void find_candidates(waiting_step& step, instant now);
+  std::vector<ask_option> ask_options(const waiting_step& step, instant now, double& held);
+  static bool is_asked_before(const ask_option& a, const ask_option& b);
   std::vector<runner_state*> runners_to_ask_about(const waiting_step& step, instant now);
+  double starts_needed(const waiting_step& step) const;
+  double starts_that_fit(const waiting_step& step, const runner_state& runner) const;
   waiting_reason explain(const waiting_step& step, instant now);
   bool permitted(const waiting_step& step, const runner_state& runner) const;
   bool may_take(const waiting_step& step, const runner_state& runner, instant now) const;
--- a/src/decide/placer_advice.cc
+++ b/src/decide/placer_advice.cc
@@ -1,8 +1,9 @@
 // Which runners the advice service is to be asked about. Questions take long and hosts
-// answer them one after the other, so only the most urgent steps ask, each about few
-// runners, and shortly before it can start.
+// answer them one after the other, so only the most urgent steps ask, each about as many
+// runners as it needs, and shortly before it can start.
 
 #include <algorithm>
+#include <utility>
 
 #include "decide/placer.h"
 
@@ -47,48 +48,117 @@
   service_round& round = this->services[step.service.text];
   const std::size_t named = std::min(round.runners.size(), this->options.runners_per_wish);
   round.advice_ms += terms.decide_ms + terms.per_runner_ms * static_cast<double>(named);
-  const bool in_window = round.advice_ms <= static_cast<double>(this->options.advice_window.value);
+  const bool in_window = round.advice_ms <= static_cast<double>(this->options.advice_window.value) *
+                                                static_cast<double>(this->state.advising_daemons);
   if (!in_window || step.advice->asking || now < step.advice->retry_at ||
       round.asked >= this->options.questions) {
     return;
   }
   const std::vector<runner_state*> chosen = this->runners_to_ask_about(step, now);
   if (chosen.empty()) {
+    step.advice->retry_at = now + this->options.ask_again;
     return;
   }
   ++round.asked;
   advice_wish wish{step.ref, terms, {}};
   for (const runner_state* runner : chosen) {
-    if (wish.runners.size() >= this->options.runners_per_wish) {
-      break;
-    }
     wish.runners.push_back(runner->entry.id);
   }
   out.wishes.push_back(std::move(wish));
 }
 
-// Those that were never asked about; if there are none, those that are good and
-// whose tickets expire before a new one could come. The emptiest come first.
-std::vector<runner_state*> placer::runners_to_ask_about(const waiting_step& step, instant now) {
+double placer::starts_needed(const waiting_step& step) const {
+  return static_cast<double>(step.tasks.size()) * this->options.spare_runners;
+}
+
+// How many of the step's tasks have room on the runner now.
+double placer::starts_that_fit(const waiting_step& step, const runner_state& runner) const {
+  const resources each = reserved_room(*step.shape);
+  const std::size_t most = step.shape->anti_affinity > 0
+                               ? static_cast<std::size_t>(step.shape->anti_affinity)
+                               : step.tasks.size();
+  const resources room = runner.room();
+  std::size_t fits = 0;
+  for (resources taken = each; fits < most && taken.fits(room); taken += each) {
+    ++fits;
+  }
+  return static_cast<double>(fits);
+}
+
+// Runners that a question would tell something about; `held` gets the starts that are
+// possible now with tickets that stay valid.
+std::vector<placer::ask_option> placer::ask_options(const waiting_step& step, instant now,
+                                                    double& held) {
   const millis decide{static_cast<std::int64_t>(step.queue->advice->decide_ms)};
   const instant needed_until = now + this->options.ticket_margin + decide + renewal_margin;
-  std::vector<runner_state*> unasked;
-  std::vector<runner_state*> expiring;
+  const double good_share = this->state.advice.good_share(step.queue->name);
+  const std::size_t salt = std::hash<std::string>{}(step.ref.text());
+  std::vector<ask_option> out;
   for (runner_state* runner : this->services[step.service.text].runners) {
-    if (!runner->takes_work(now) || !step.shape->need.fits(runner->entry.capacity)) {
+    const std::string& id = runner->entry.id;
+    const auto known = step.advice->good.find(id);
+    const bool asked = known != step.advice->good.end();
+    if ((asked && !known->second) || !runner->takes_work(now) ||
+        !step.shape->need.fits(runner->entry.capacity)) {
       continue;
     }
-    if (!step.advice->good.contains(runner->entry.id)) {
-      unasked.push_back(runner);
-    } else if (step.advice->known_good(runner->entry.id) &&
-               step.advice->ticket_for(runner->entry.id, needed_until) == nullptr) {
-      expiring.push_back(runner);
+    const bool usable =
+        this->permitted(step, *runner) && !this->yields_to_claim(step, *runner, now);
+    const double fit = usable ? this->starts_that_fit(step, *runner) : 0;
+    if (asked && step.advice->ticket_for(id, needed_until) != nullptr) {
+      held += fit;
+      continue;
+    }
+    const std::size_t turn = std::hash<std::string>{}(id) * (2 * salt + 1);
+    out.push_back({runner, fit * (asked ? 1 : good_share), asked, turn});
+  }
+  return out;
+}
+
+// Those that have room for the step now come first: good ones, then those that were
+// never asked about. Others follow, since room there may come: those that were never
+// asked about, then good ones; the emptiest first. Steps that ask at the same time about
+// runners with room begin with others, since they would take it from each other.
+bool placer::is_asked_before(const ask_option& a, const ask_option& b) {
+  const bool fits = a.starts > 0;
+  if (fits != (b.starts > 0)) {
+    return fits;
+  }
+  if (a.asked != b.asked) {
+    return fits ? a.asked : b.asked;
+  }
+  if (fits) {
+    return a.turn > b.turn;
+  }
+  return std::pair(a.runner->room().accelerators, a.runner->room().cpu) >
+         std::pair(b.runner->room().accelerators, b.runner->room().cpu);
+}
+
+// As many as the step probably needs, beside what it can start already. Only in a cell
+// too full for that, runners without room as well: those that were never asked about, or
+// if there are none good ones.
+std::vector<runner_state*> placer::runners_to_ask_about(const waiting_step& step, instant now) {
+  double starts = 0;
+  std::vector<ask_option> candidates = this->ask_options(step, now, starts);
+  const double needed = this->starts_needed(step);
+  if (starts >= needed) {
+    return {};
+  }
+  std::sort(candidates.begin(), candidates.end(), is_asked_before);
+  std::vector<runner_state*> chosen;
+  bool unasked_without_room = false;
+  for (const ask_option& o : candidates) {
+    const bool fits = o.starts > 0;
+    const std::size_t most =
+        fits ? this->options.roomy_runners_per_wish : this->options.runners_per_wish;
+    const bool enough = starts >= needed && (!fits || chosen.size() >= this->options.least_named);
+    if (enough || chosen.size() >= most || (!fits && o.asked && unasked_without_room)) {
+      break;
     }
+    unasked_without_room = unasked_without_room || (!fits && !o.asked);
+    starts += o.starts;
+    chosen.push_back(o.runner);
   }
-  std::vector<runner_state*> chosen = unasked.empty() ? std::move(expiring) : std::move(unasked);
-  std::sort(chosen.begin(), chosen.end(), [](const runner_state* a, const runner_state* b) {
-    return a->room().cpu > b->room().cpu;
-  });
   return chosen;
 }
 
--- a/src/decide/placer_claims.cc
+++ b/src/decide/placer_claims.cc
@@ -139,7 +139,9 @@
 
 bool placer::claims(const waiting_step& step) {
   const service_round& round = this->services[step.service.text];
-  if (round.claims >= this->options.claiming_steps) {
+  const std::size_t most = std::max(this->options.claiming_steps,
+                                    round.runners.size() / this->options.runners_per_claim);
+  if (round.claims >= most) {
     return false;
   }
   return step.shape->gang ||
--- a/src/decide/testing/load_player.h
+++ b/src/decide/testing/load_player.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,6 +22,13 @@
   std::vector<std::string> permitted;
 };
 
+// Daemons that ask the advice service, one question at a time each.
+struct played_advice {
+  std::size_t daemons = 0;  // 0: steps have tickets for all permitted runners, for good.
+  millis long_question{150};
+  double kept_free = 0.25;  // Of the daemons, for questions that are not long.
+};
+
 // How a queue's jobs fared.
 struct played_result {
   int jobs = 0;
@@ -35,8 +44,12 @@
 // runs for its time, what is stopped keeps its progress if its step checkpoints.
 class load_player {
  public:
-  explicit load_player(cell_builder& given, const placer_options& options = {})
-      : cell(given), planner(given.state, options), began(given.now) {}
+  explicit load_player(cell_builder& given, const placer_options& options = {},
+                       const played_advice& asking = {})
+      : cell(given), planner(given.state, options), advice(asking), began(given.now) {
+    this->free_daemons = asking.daemons;
+    given.state.advising_daemons = std::max<std::size_t>(asking.daemons, 1);
+  }
 
   // Plays `load` (in order of arrival) for `length`.
   std::map<std::string, played_result> play(const std::vector<played_job>& load, millis length) {
@@ -46,11 +59,16 @@
         this->arrive(load[next]);
       }
       this->end_runs();
+      this->answer_questions();
       this->plan_round();
       this->cell.now = this->cell.now + tick;
     }
     return this->results;
   }
+  // Work of all questions, and what it would be with one question about 30 runners for
+  // each step that began.
+  double advice_spent_ms() const { return this->spent_ms; }
+  double advice_needed_ms() const { return this->needed_ms; }
   // Accelerators in use, in thousandths of a second times accelerators.
   std::int64_t accelerator_ms() const { return this->used_accelerator_ms; }
 
@@ -64,6 +82,10 @@
     instant began;
     bool stopping = false;
   };
+  struct question {
+    advice_wish wish;
+    instant answered;
+  };
   struct job_state {
     const played_job* job = nullptr;
     std::map<task_ref, millis> progress;
@@ -72,7 +94,7 @@
   void arrive(const played_job& job) {
     this->cell.add_job(job.id, job.spec, "t", job.queue);
     this->jobs[job.id] = {&job, {}};
-    if (!job.permitted.empty()) {
+    if (!job.permitted.empty() && this->advice.daemons == 0) {
       this->permit(job);
     }
     ++this->results[job.queue].jobs;
@@ -94,8 +116,56 @@
     }
   }
 
+  void ask(const advice_wish& wish) {
+    const double work =
+        wish.terms.decide_ms + wish.terms.per_runner_ms * static_cast<double>(wish.runners.size());
+    const bool is_long = work > static_cast<double>(this->advice.long_question.value);
+    const double kept = this->advice.kept_free * static_cast<double>(this->advice.daemons);
+    const double free = static_cast<double>(this->free_daemons);
+    if (free < 1 || (is_long && free <= kept)) {
+      return;
+    }
+    --this->free_daemons;
+    this->spent_ms += work;
+    this->cell.state.advice.of(wish.step).asking = true;
+    this->questions.push_back({wish, this->cell.now + millis{static_cast<std::int64_t>(work)}});
+  }
+
+  void answer_questions() {
+    std::vector<question> left;
+    for (const question& q : this->questions) {
+      if (q.answered > this->cell.now) {
+        left.push_back(q);
+        continue;
+      }
+      ++this->free_daemons;
+      const auto job = this->cell.state.jobs.find(q.wish.step.job);
+      if (job != this->cell.state.jobs.end() && !is_final(job->second.phase())) {
+        this->answer(q.wish, job->second.submission().queue);
+      }
+    }
+    this->questions = std::move(left);
+  }
+
+  void answer(const advice_wish& wish, const queue_id& queue) {
+    const auto& good = this->jobs.at(wish.step.job.text).job->permitted;
+    std::vector<ticket> tickets;
+    for (const std::string& runner : wish.runners) {
+      if (std::binary_search(good.begin(), good.end(), runner)) {
+        tickets.push_back({runner, "ticket"});
+      }
+    }
+    constexpr millis travel{120};
+    this->cell.state.advice.answer(queue, wish.step, wish.runners, tickets,
+                                   this->cell.now + wish.terms.valid - travel);
+  }
+
   void plan_round() {
     const plan decided = this->planner.decide(this->cell.now, this->cell.now.value);
+    for (const advice_wish& wish :
+         this->advice.daemons > 0 ? decided.wishes : std::vector<advice_wish>()) {
+      this->ask(wish);
+    }
     for (const preemption& p : decided.preemptions) {
       for (live_run& run : this->runs) {
         if (run.start.task == p.run.task && run.start.run == p.run.run && !run.stopping) {
@@ -106,6 +176,11 @@
     }
     for (const placement& p : decided.placements) {
       job_state& state = this->jobs.at(p.task.in.job.text);
+      const queue_config& queue = *this->cell.state.config.find_queue(queue_id(state.job->queue));
+      if (queue.advice && this->begun.insert(p.task.in).second) {
+        constexpr double usual_runners = 30;
+        this->needed_ms += queue.advice->decide_ms + queue.advice->per_runner_ms * usual_runners;
+      }
       const millis left = state.job->run_time - state.progress[p.task];
       this->runs.push_back({p, this->cell.now + left, this->cell.now});
     }
@@ -162,7 +237,13 @@
 
   cell_builder& cell;
   placer planner;
+  const played_advice advice;
   const instant began;
+  std::size_t free_daemons = 0;
+  std::vector<question> questions;
+  std::set<step_ref> begun;
+  double spent_ms = 0;
+  double needed_ms = 0;
   std::map<std::string, job_state> jobs;
   std::vector<live_run> runs;
   std::map<std::string, played_result> results;
