A job's progress is packed

Cause: each change of a task wrote 60 to 70 bytes for every task of its job; all readers and the links of weak hosts carry that. Change: progress_codec: numbers of variable length, usual values left out, rows of equal tasks as one. A running task takes 24 bytes, a row of done ones 4.

--- a/src/model/cell_record.cc
+++ b/src/model/cell_record.cc
@@ -6,10 +6,12 @@
 #include <cereal/archives/binary.hpp>
 #include <sstream>
 
+#include "model/progress_codec.h"
+
 namespace monsoonmux::cell {
 namespace {
 
-constexpr char format_version = 1;
+constexpr char format_version = 2;
 
 template <class Record>
 std::string encode_record(const Record& value) {
@@ -39,6 +41,14 @@
 
 }  // namespace
 
+std::string occurrence_progress::packed_tasks() const {
+  return pack(this->tasks);
+}
+
+void occurrence_progress::unpack_tasks(const std::string& packed) {
+  this->tasks = unpack(packed);
+}
+
 std::string_view to_string(job_phase phase) {
   switch (phase) {
     case job_phase::queued:
--- a/src/model/cell_record.h
+++ b/src/model/cell_record.h
@@ -49,21 +49,28 @@
   std::int64_t runner_born = 0;
   std::string checkpoint;
 
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(this->step, this->index, this->phase, this->run, this->failures, this->runner,
-            this->runner_born, this->checkpoint);
-  }
+  bool operator==(const task_progress&) const = default;
 };
 
 struct occurrence_progress {
   std::int32_t number = 0;
   std::vector<task_progress> tasks;
 
+  // In the form of progress_codec.h.
   template <class Archive>
-  void serialize(Archive& archive) {
-    archive(this->number, this->tasks);
+  void save(Archive& archive) const {
+    archive(this->number, this->packed_tasks());
   }
+  template <class Archive>
+  void load(Archive& archive) {
+    std::string packed;
+    archive(this->number, packed);
+    this->unpack_tasks(packed);
+  }
+
+ private:
+  std::string packed_tasks() const;
+  void unpack_tasks(const std::string& packed);
 };
 
 enum class job_phase : std::uint8_t { queued, running, completed, failed, cancelled };
--- /dev/null
+++ b/src/model/progress_codec.cc
@@ -0,0 +1,180 @@
+#include "model/progress_codec.h"
+
+#include <stdexcept>
+
+#include "model/job_spec.h"
+
+namespace monsoonmux::cell {
+namespace {
+
+// The first byte of an entry: the phase, and which fields follow.
+constexpr unsigned phase_mask = 3;
+constexpr unsigned has_failures = 4;
+constexpr unsigned has_checkpoint = 8;
+constexpr unsigned has_run = 16;      // Other than 1.
+constexpr unsigned has_repeats = 32;  // More tasks of the same kind follow this one.
+constexpr unsigned has_place = 64;
+
+constexpr unsigned bits_per_byte = 7;  // The eighth says that another one follows.
+constexpr unsigned more_follow = 128;
+
+void put_number(std::string& out, std::uint64_t value) {
+  while (value >= more_follow) {
+    out.push_back(static_cast<char>((value & (more_follow - 1)) | more_follow));
+    value >>= bits_per_byte;
+  }
+  out.push_back(static_cast<char>(value));
+}
+
+// Small negative numbers are short as well.
+void put_signed(std::string& out, std::int64_t value) {
+  const auto bits = static_cast<std::uint64_t>(value);
+  put_number(out, (bits << 1U) ^ (value < 0 ? ~std::uint64_t{0} : 0));
+}
+
+void put_text(std::string& out, const std::string& text) {
+  put_number(out, text.size());
+  out += text;
+}
+
+class reader {
+ public:
+  explicit reader(const std::string& bytes) : bytes(bytes) {}
+
+  bool at_end() const { return this->at == this->bytes.size(); }
+  unsigned byte() {
+    if (this->at_end()) {
+      throw std::runtime_error("progress ends inside an entry");
+    }
+    return static_cast<unsigned char>(this->bytes[this->at++]);
+  }
+  std::uint64_t number() {
+    constexpr unsigned longest_shift = 63;
+    std::uint64_t value = 0;
+    for (unsigned shift = 0; shift <= longest_shift; shift += bits_per_byte) {
+      const unsigned next = this->byte();
+      value |= static_cast<std::uint64_t>(next & (more_follow - 1)) << shift;
+      if (next < more_follow) {
+        return value;
+      }
+    }
+    throw std::runtime_error("a number without an end");
+  }
+  std::int32_t count() {
+    const std::uint64_t value = this->number();
+    if (value > INT32_MAX) {
+      throw std::runtime_error("a count out of range");
+    }
+    return static_cast<std::int32_t>(value);
+  }
+  std::int64_t signed_number() {
+    const std::uint64_t value = this->number();
+    const std::uint64_t sign = (value & 1U) != 0 ? ~std::uint64_t{0} : 0;
+    return static_cast<std::int64_t>((value >> 1U) ^ sign);
+  }
+  std::string text() {
+    const std::uint64_t size = this->number();
+    if (size > this->bytes.size() - this->at) {
+      throw std::runtime_error("a text longer than its record");
+    }
+    std::string out = this->bytes.substr(this->at, size);
+    this->at += size;
+    return out;
+  }
+
+ private:
+  const std::string& bytes;
+  std::size_t at = 0;
+};
+
+bool has_own_place(const task_progress& t) {
+  return !t.runner.empty() || t.runner_born != 0;
+}
+
+// True if `next` needs no entry of its own after `t`.
+bool repeats(const task_progress& t, const task_progress& next, std::int32_t distance) {
+  return next.step == t.step && next.index == t.index + distance && next.phase == t.phase &&
+         next.run == t.run && next.failures == t.failures && next.checkpoint.empty() &&
+         t.checkpoint.empty() && !has_own_place(next) && !has_own_place(t);
+}
+
+unsigned head_of(const task_progress& t, bool repeated) {
+  return static_cast<unsigned>(t.phase) | (t.failures != 0 ? has_failures : 0) |
+         (!t.checkpoint.empty() ? has_checkpoint : 0) | (t.run != 1 ? has_run : 0) |
+         (repeated ? has_repeats : 0) | (has_own_place(t) ? has_place : 0);
+}
+
+}  // namespace
+
+std::string pack(const std::vector<task_progress>& tasks) {
+  std::string out;
+  std::int64_t born_before = 0;
+  for (std::size_t i = 0; i < tasks.size();) {
+    const task_progress& t = tasks[i];
+    std::int32_t same = 1;
+    while (i + static_cast<std::size_t>(same) < tasks.size() &&
+           repeats(t, tasks[i + static_cast<std::size_t>(same)], same)) {
+      ++same;
+    }
+    out.push_back(static_cast<char>(head_of(t, same > 1)));
+    put_number(out, static_cast<std::uint32_t>(t.step));
+    put_number(out, static_cast<std::uint32_t>(t.index));
+    if (t.run != 1) {
+      put_number(out, static_cast<std::uint32_t>(t.run));
+    }
+    if (t.failures != 0) {
+      put_number(out, static_cast<std::uint32_t>(t.failures));
+    }
+    if (has_own_place(t)) {
+      put_text(out, t.runner);
+      put_signed(out, t.runner_born - born_before);
+      born_before = t.runner_born;
+    }
+    if (!t.checkpoint.empty()) {
+      put_text(out, t.checkpoint);
+    }
+    if (same > 1) {
+      put_number(out, static_cast<std::uint32_t>(same - 1));
+    }
+    i += static_cast<std::size_t>(same);
+  }
+  return out;
+}
+
+std::vector<task_progress> unpack(const std::string& bytes) {
+  std::vector<task_progress> out;
+  std::int64_t born_before = 0;
+  reader in(bytes);
+  while (!in.at_end()) {
+    const unsigned head = in.byte();
+    task_progress t;
+    if ((head & phase_mask) > static_cast<unsigned>(task_phase::done)) {
+      throw std::runtime_error("a phase that there is not");
+    }
+    t.phase = static_cast<task_phase>(head & phase_mask);
+    t.step = in.count();
+    t.index = in.count();
+    t.run = (head & has_run) != 0 ? in.count() : 1;
+    t.failures = (head & has_failures) != 0 ? in.count() : 0;
+    if ((head & has_place) != 0) {
+      t.runner = in.text();
+      t.runner_born = born_before + in.signed_number();
+      born_before = t.runner_born;
+    }
+    if ((head & has_checkpoint) != 0) {
+      t.checkpoint = in.text();
+    }
+    const std::int32_t more = (head & has_repeats) != 0 ? in.count() : 0;
+    if (more > max_tasks_per_job || t.index > INT32_MAX - more) {
+      throw std::runtime_error("more tasks than a job may have");
+    }
+    out.push_back(t);
+    for (std::int32_t i = 0; i < more; ++i) {
+      ++t.index;
+      out.push_back(t);
+    }
+  }
+  return out;
+}
+
+}  // namespace monsoonmux::cell
