One takeover after an owner's death, and its agents at once

And a new owner knew no agents until their next hello. Change: the first claim of a higher epoch is a sign of life whenever it is read; a new owner begins with the peers that the former one named. Test: 'Many standbys follow a dead owner with one takeover', red before.

--- a/src/cell/beat_sender.cc
+++ b/src/cell/beat_sender.cc
@@ -23,6 +23,14 @@
   }
 }
 
+std::vector<known_peer> beat_sender::known() const {
+  std::vector<known_peer> out;
+  for (const auto& [daemon, p] : this->peers) {
+    out.push_back({daemon, p.address.host, p.address.port, p.zone, p.strength});
+  }
+  return out;
+}
+
 void beat_sender::begin() {
   this->begun = this->time.now();
   this->standbys.reset();
--- a/src/cell/beat_sender.h
+++ b/src/cell/beat_sender.h
@@ -44,6 +44,8 @@
   void heard(const std::string& daemon, const peer_address& address, const hello_message& hello);
   // The owner says that it heard the peer lately.
   void heard_of(const known_peer& peer);
+  // All peers that were heard, or heard of, lately.
+  std::vector<known_peer> known() const;
   // This daemon has become the owner.
   void begin();
   // To be told with the next beat.
--- a/src/cell/cell_daemon.cc
+++ b/src/cell/cell_daemon.cc
@@ -174,6 +174,10 @@
                        });
                      },
                      [this](const logged_record& record) { this->work_record(record); }});
+  // Those that the former owner knew can ask for advice and carry orders at once.
+  for (const known_peer& peer : this->beat.known()) {
+    this->orders->heard(peer.daemon, {peer.host, peer.port}, {0, peer.zone, peer.strength});
+  }
   this->orders->fence([this](std::int64_t end) {
     this->fenced_at = end;
     this->work.hurry();
--- a/src/cell/ownership.cc
+++ b/src/cell/ownership.cc
@@ -63,8 +63,9 @@
     return;
   }
   this->end = record.offset + 1;
+  const bool is_new_owner = !this->claim || this->claim->owner_epoch < seen->owner_epoch;
+  const bool fresh = is_new_owner || this->reads_seldom || this->fresh_after.has_value();
   this->claim = seen;
-  const bool fresh = this->reads_seldom || this->fresh_after.has_value();
   this->heard = fresh ? this->time.now() : std::max(this->heard, this->last_beat);
   const bool mine = seen->nonce == this->nonce;
   if (mine && !this->is_owner && !seen->resigned && !this->stopping) {
--- a/src/cell/testing/cell_test.cc
+++ b/src/cell/testing/cell_test.cc
@@ -150,6 +150,20 @@
   }
 }
 
+TEST_CASE("Many standbys follow a dead owner with one takeover") {
+  for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    fake_cell cell(8, 2, seed);
+    cell.loop.run_for(millis{6'000});
+    const int former = owner_of(cell);
+    REQUIRE(former >= 0);
+    const std::int64_t before = cell.store.claims();
+    cell.nodes[static_cast<std::size_t>(former)]->kill();
+    cell.loop.run_for(millis{3'000});
+    CHECK(cell.store.claims() == before + 1);
+  }
+}
+
 TEST_CASE("An owner that is cut off from the log is followed, though it lives") {
   fake_cell cell(3, 2, 11);
   cell.loop.run_for(boot_time);
--- a/src/cell/testing/fake_store.h
+++ b/src/cell/testing/fake_store.h
@@ -10,6 +10,7 @@
 
 #include "cell/shared_log.h"
 #include "cell/testing/fake_loop.h"
+#include "cell/topics.h"
 
 namespace monsoonmux::cell {
 
@@ -25,6 +26,13 @@
   std::set<std::string> cut;  // Daemons whose calls do not arrive.
   std::map<std::string, int> appends;  // Calls that were made, by daemon.
 
+  // Epoch of the newest claim; each takeover raises it by one.
+  std::int64_t claims() {
+    const auto& records = this->topics[owner_topic].records;
+    const auto newest = records.empty() ? std::nullopt : decode_claim(records.back().record.value);
+    return newest ? newest->owner_epoch.value : 0;
+  }
+
   void append(const std::string& from, fake_process& process, append_request request,
               std::function<void(append_answer)> on_answer) {
     ++this->appends[from];
