A jump of the time of day makes no job late and nothing due early

Change: a job's age is measured on the clock that never jumps from the moment the owner learns of it; the time of day is the median of what the daemons say in their hellos (wall_time); a new owner opens occurrences only after it has heard them. Before, after: test 'A jump of the time of day makes no job late and none early' (both ways) fails without the change in urgency, passes with it. Tests: wall_time_test.

--- a/src/cell/cell_daemon.cc
+++ b/src/cell/cell_daemon.cc
@@ -260,10 +260,10 @@
   this->hello.start(this->options.hello_every, [this] { this->say_hello(); });
   const std::optional<peer_address> owner = this->owner_address();
   if (owner && !this->claim.owner()) {
-    this->ports.peers.send(
-        {this->options.self.text, hello_message{this->advice.backlog().value, this->options.zone,
-                                                this->options.host.strength()}},
-        *owner);
+    this->ports.peers.send({this->options.self.text,
+                            hello_message{this->advice.backlog().value, this->options.zone,
+                                          this->options.host.strength(), this->time.wall_ms()}},
+                           *owner);
   }
 }
 
--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -63,6 +63,10 @@
   return *session;
 }
 
+std::int64_t owner::wall_ms() const {
+  return this->wall.at(this->services.time.now(), this->services.time.wall_ms());
+}
+
 void owner::configure(const cell_config& config) {
   this->state.config = config;
   this->request_plan();
@@ -72,7 +76,7 @@
   if (!this->is_active || this->state.jobs.contains(record.submission->job)) {
     return;
   }
-  this->adopt(record);
+  this->adopt(record, this->services.time.now());
   this->request_plan();
 }
 
@@ -284,6 +288,9 @@
 void owner::heard(const std::string& daemon, const peer_address& from, const hello_message& hello) {
   this->dispatcher.heard(daemon, from);
   this->agents.heard(daemon, from, hello.zone, hello.strength);
+  if (hello.wall_ms != 0) {
+    this->wall.heard(daemon, hello.wall_ms, this->services.time.now());
+  }
 }
 
 void owner::advice_answered(const advice_answer_message& answer) {
@@ -352,17 +359,22 @@
   });
 }
 
+void owner::open_due(instant now, std::int64_t wall_ms) {
+  const bool agreed = now - this->active_since >= this->options.agree_on_time;
+  for (auto& [id, job] : this->state.jobs) {
+    if (!is_final(job.phase()) && (agreed || !job.spec().timed())) {
+      job.open_due(wall_ms);
+    }
+  }
+}
+
 void owner::make_plan() {
   if (!this->on.may_order() || this->writer.stalled_for() > this->options.writer_stall) {
     return;  // What is placed now could not be started; tick() asks again.
   }
   const instant now = this->services.time.now();
-  const std::int64_t wall_ms = this->services.time.wall_ms();
-  for (auto& [id, job] : this->state.jobs) {
-    if (!is_final(job.phase())) {
-      job.open_due(wall_ms);
-    }
-  }
+  const std::int64_t wall_ms = this->wall_ms();
+  this->open_due(now, wall_ms);
   this->state.advising_daemons = this->dispatcher.daemons();
   const plan decided = this->planner.decide(now, wall_ms);
   std::map<job_id, std::vector<placement>> by_job;
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -14,6 +14,7 @@
 #include "cell/runner_session.h"
 #include "decide/job_book.h"
 #include "decide/placer.h"
+#include "decide/wall_time.h"
 
 namespace monsoonmux::cell {
 
@@ -31,6 +32,9 @@
   millis load_report{1'000};  // Between two lines on how full the cell is.
   millis hand_down{1'000};    // Between two records of the learned run times.
   millis stop_grace{900};
+  // An owner that has not heard yet what time it is for others starts nothing that is due
+  // by the time of day.
+  millis agree_on_time{1'000};
 };
 
 // What a daemon needs to act as the owner: services that it shares with its other
@@ -106,10 +110,14 @@
   void report_load();
   void report_waiting(const std::vector<waiting_reason>& reasons);
   void request_plan();
+  void open_due(instant now, std::int64_t wall_ms);
   void make_plan();
   void preempt(const std::vector<preemption>& runs);
   void send_starts(const std::vector<placement>& starts);
-  void adopt(const job_record& record);
+  // `accepted`: when the job was, as far as known.
+  void adopt(const job_record& record, instant accepted);
+  // The time of day that most daemons agree on.
+  std::int64_t wall_ms() const;
   void adopt_run(live_job& job, const task_ref& task, const live_task& t);
   bool free_room(const std::string& runner, const run_key& run);
   void settle_end(const std::string& runner, const run_key& run, run_end how,
@@ -132,6 +140,7 @@
   const owner_options options;
   const owner_handlers on;
   cell_state state;
+  wall_time wall;
   placer planner;
   progress_writer writer;
   advice_dispatcher dispatcher;
@@ -149,6 +158,7 @@
   instant plan_ended{0};
   millis plan_took{0};
   bool is_active = false;
+  instant active_since{0};
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/cell/owner_takeover.cc
+++ b/src/cell/owner_takeover.cc
@@ -1,6 +1,8 @@
 // What a new owner makes of the log: every open job, every run that a former owner may
 // have started, and what that one had learned of run times.
 
+#include <algorithm>
+
 #include "cell/owner.h"
 
 namespace monsoonmux::cell {
@@ -8,24 +10,29 @@
 void owner::take_over(const job_book& book, const cell_config& config) {
   this->state.config = config;
   this->is_active = true;
+  this->active_since = this->services.time.now();
   if (book.run_times()) {
     this->state.run_times.restore(*book.run_times());
   }
+  const instant now = this->services.time.now();
   for (const auto& [id, record] : book.jobs()) {
-    this->adopt(record);
+    // Only the time of day tells how old a job is that another daemon took.
+    const std::int64_t accepted_ms = record.submission ? record.submission->accepted_ms : 0;
+    const millis age{std::max<std::int64_t>(0, this->wall_ms() - accepted_ms)};
+    this->adopt(record, now - age);
   }
   this->services.events.write("took_over",
                               {{"epoch", this->at.value}, {"open_jobs", this->state.jobs.size()}});
   this->tick();
 }
 
-void owner::adopt(const job_record& record) {
+void owner::adopt(const job_record& record, instant accepted) {
   if (!record.submission || record.settled() || record.submission->spec.steps.empty()) {
     return;
   }
   const job_id id = record.submission->job;
   live_job job(*record.submission, record.progress, this->attempts_of(*record.submission),
-               this->services.time.now());
+               this->services.time.now(), accepted);
   live_job& kept = this->state.jobs.emplace(id, std::move(job)).first->second;
   for (auto& [number, occurrence] : kept.occurrences()) {
     for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
--- a/src/cell/peer_message.h
+++ b/src/cell/peer_message.h
@@ -23,11 +23,12 @@
 struct hello_message {
   std::int64_t backlog_ms = 0;  // Time until a new question would begin.
   domain_id zone;
-  double strength = 0;  // Of its host; see host_limits.
+  double strength = 0;       // Of its host; see host_limits.
+  std::int64_t wall_ms = 0;  // Unix time by its clock; 0: it does not say.
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->backlog_ms, this->zone, this->strength);
+    archive(this->backlog_ms, this->zone, this->strength, this->wall_ms);
   }
 };
 
--- a/src/decide/live_job.cc
+++ b/src/decide/live_job.cc
@@ -58,8 +58,8 @@
 }
 
 live_job::live_job(job_submission submission, const std::optional<job_progress>& progress,
-                   std::int32_t attempts, instant now)
-    : accepted(std::move(submission)), max_attempts(attempts), since(now) {
+                   std::int32_t attempts, instant now, instant accepted_at)
+    : accepted(std::move(submission)), max_attempts(attempts), since(accepted_at) {
   if (!progress) {
     return;
   }
--- a/src/decide/live_job.h
+++ b/src/decide/live_job.h
@@ -54,12 +54,13 @@
 // end leads to. Knows nothing of runners' room, of time limits or of the log.
 class live_job {
  public:
-  // `progress` is what the log has of it, if anything.
+  // `progress` is what the log has of it, if anything; `accepted`: when the job was.
   live_job(job_submission submission, const std::optional<job_progress>& progress,
-           std::int32_t max_attempts, instant now);
+           std::int32_t max_attempts, instant now, instant accepted);
 
   const job_submission& submission() const { return this->accepted; }
   const job_spec& spec() const { return this->accepted.spec; }
+  // On the clock that measures durations: a jump of the time of day ages no job.
   instant accepted_at() const { return this->since; }
   job_phase phase() const { return this->state; }
   std::map<std::int32_t, live_occurrence>& occurrences() { return this->open; }
--- a/src/decide/testing/cell_builder.h
+++ b/src/decide/testing/cell_builder.h
@@ -64,7 +64,8 @@
     submission.tenant = team_id(tenant);
     submission.accepted_ms = this->now.value;
     submission.spec = std::move(spec);
-    live_job job(std::move(submission), std::nullopt, this->queue().max_attempts, this->now);
+    live_job job(std::move(submission), std::nullopt, this->queue().max_attempts, this->now,
+                 this->now);
     job.open_due(this->now.value);
     return this->state.jobs.emplace(job_id(id), std::move(job)).first->second;
   }
--- a/src/decide/testing/live_job_test.cc
+++ b/src/decide/testing/live_job_test.cc
@@ -11,7 +11,7 @@
   job_submission submission;
   submission.job = job_id("j");
   submission.spec.steps = {step};
-  live_job job(submission, std::nullopt, attempts, now);
+  live_job job(submission, std::nullopt, attempts, now, now);
   job.open_due(0);
   return job;
 }
@@ -96,7 +96,7 @@
   job.finish(task(1), 1, run_end::failed, "c");
   const auto saved = decode_progress(encode(job.progress(epoch{4})));
   REQUIRE(saved.has_value());
-  live_job back(job.submission(), saved, 2, now);
+  live_job back(job.submission(), saved, 2, now, now);
   CHECK(back.find(task(0))->phase == task_phase::placed);
   CHECK(back.find(task(0))->runner == "r0");
   CHECK(back.find(task(0))->runner_born == 7);
@@ -114,7 +114,7 @@
   submission.spec.repeat_count = 3;
   submission.spec.first_run_ms = 100;
   submission.spec.interval = millis{50};
-  live_job job(submission, std::nullopt, 1, now);
+  live_job job(submission, std::nullopt, 1, now, now);
   CHECK_FALSE(job.open_due(99));
   CHECK(job.next_due_ms() == 100);
   CHECK(job.open_due(150));
--- /dev/null
+++ b/src/decide/testing/wall_time_test.cc
@@ -0,0 +1,53 @@
+#include "decide/wall_time.h"
+
+#include <catch2/catch.hpp>
+
+#include "decide/testing/cell_builder.h"
+#include "decide/urgency.h"
+
+namespace monsoonmux::cell {
+namespace {
+
+constexpr instant now{50'000};
+constexpr std::int64_t true_ms = 1'800'000'000'000;
+constexpr std::int64_t jump_ms = 9'000;
+
+TEST_CASE("A host's jump of the time of day is outvoted, both ways") {
+  for (const std::int64_t jump : {jump_ms, -jump_ms}) {
+    wall_time time;
+    CHECK(time.at(now, true_ms + jump) == true_ms + jump);  // Nobody else was heard.
+    time.heard("a", true_ms + 3, now);
+    time.heard("b", true_ms - 2, now);
+    CHECK(std::abs(time.at(now, true_ms + jump) - true_ms) <= 3);
+    constexpr millis later{700};
+    CHECK(std::abs(time.at(now + later, true_ms + jump + later.value) - true_ms - later.value) <=
+          3);
+  }
+}
+
+TEST_CASE("A peer that jumped or fell silent does not count") {
+  wall_time time;
+  time.heard("a", true_ms, now);
+  time.heard("b", true_ms + jump_ms, now);
+  CHECK(time.at(now, true_ms) == true_ms);
+  time.heard("c", true_ms + jump_ms, now);
+  constexpr millis silence{5'000};
+  CHECK(time.at(now + silence, true_ms + silence.value) == true_ms + silence.value);
+}
+
+TEST_CASE("A jump of the time of day makes no job late and none early") {
+  cell_builder cell;
+  step_spec step = cell_builder::step(1, {millicores{100}, mebibytes{1}, devices{0}});
+  live_job& job = cell.add_job("job", step);
+  const live_occurrence& run = job.occurrences().at(0);
+  const instant later = cell.now + millis{300};
+  const urgency before = urgency_judge(cell.state, later, later.value).judge(job, 0, run, step);
+  for (const std::int64_t jump : {jump_ms, -jump_ms}) {
+    const urgency after =
+        urgency_judge(cell.state, later, later.value + jump).judge(job, 0, run, step);
+    CHECK(after == before);
+  }
+}
+
+}  // namespace
+}  // namespace monsoonmux::cell
--- a/src/decide/urgency.cc
+++ b/src/decide/urgency.cc
@@ -86,8 +86,9 @@
   const millis objective{
       std::llround(queue->stretch * static_cast<double>(this->chain(spec, *queue, nullptr).value)) +
       queue->target_latency.value};
-  const std::int64_t since = spec.timed() ? spec.due_ms(occurrence) : job.submission().accepted_ms;
-  const millis waited{std::max<std::int64_t>(0, this->wall_ms - since)};
+  const millis age = spec.timed() ? millis{this->wall_ms - spec.due_ms(occurrence)}
+                                  : this->now - job.accepted_at();
+  const millis waited = std::max(age, millis{0});
   const millis left = this->chain(spec, *queue, &run);
   out.slack = objective - waited - left;
   out.given_up = waited + left > objective * worthless_after;
--- /dev/null
+++ b/src/decide/wall_time.cc
@@ -0,0 +1,30 @@
+#include "decide/wall_time.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace monsoonmux::cell {
+namespace {
+
+// A daemon that was not heard for longer may have stopped, or its clock jumped since.
+constexpr millis vote_age{3'000};
+
+}  // namespace
+
+void wall_time::heard(const std::string& daemon, std::int64_t wall_ms, instant now) {
+  this->votes[daemon] = {wall_ms - now.value, now};
+}
+
+std::int64_t wall_time::at(instant now, std::int64_t own_wall_ms) const {
+  std::vector<std::int64_t> ahead{own_wall_ms - now.value};
+  for (const auto& [daemon, v] : this->votes) {
+    if (now - v.heard < vote_age) {
+      ahead.push_back(v.ahead_ms);
+    }
+  }
+  const auto middle = ahead.begin() + static_cast<std::ptrdiff_t>((ahead.size() - 1) / 2);
+  std::nth_element(ahead.begin(), middle, ahead.end());
+  return now.value + *middle;
+}
+
+}  // namespace monsoonmux::cell
