A reader counts as up to date only when nothing was left to read

Change: reads tell where the topic ends; a follower is loaded when it has read up to there, and the book is as old as the last time it had.

--- a/src/cell/cell_daemon.cc
+++ b/src/cell/cell_daemon.cc
@@ -35,7 +35,7 @@
            {.wait = chosen.book_wait, .min_interval = chosen.book_interval},
            {[this](const logged_record& r) { this->work_record(r); },
             [this] {
-              this->front.feed(&this->work.book(), [this] { return this->work.last_contact(); });
+              this->front.feed(&this->work.book(), [this] { return this->work.caught_up(); });
               this->finish_takeover();
             },
             [this] { this->front.close_book(); }}),
--- a/src/cell/log_follower.cc
+++ b/src/cell/log_follower.cc
@@ -21,6 +21,7 @@
 
 void log_follower::start() {
   this->first_page = true;
+  this->loading = false;
   if (this->on.on_loading) {
     this->on.on_loading();
   }
@@ -58,9 +59,7 @@
     return;
   }
   this->next = this->load_end;
-  this->is_loaded = true;
-  this->events.write("log_loaded", {{"topic", this->topic}, {"next", this->next}});
-  this->on.on_loaded();
+  this->loading = true;
   this->read();
 }
 
@@ -68,7 +67,7 @@
   this->read_started = this->time.now();
   this->waits_for_turn = false;
   // After a failure any answer is news: the log is back.
-  const millis wait = this->failures > 0 ? millis{0} : this->options.wait;
+  const millis wait = this->failures > 0 || this->loading ? millis{0} : this->options.wait;
   this->log.read(this->topic, this->next, wait,
                  [this, a = this->alive](result<read_answer> answer) {
                    if (!*a) {
@@ -94,7 +93,25 @@
     this->on.on_record(record);
   }
   this->next = std::max(this->next, answer.next);
-  this->schedule_read();
+  const bool all_read = this->next >= answer.end;
+  if (all_read) {
+    this->caught_up_at = this->time.now();
+  }
+  if (this->loading && all_read) {
+    this->loading = false;
+    this->is_loaded = true;
+    this->events.write("log_loaded", {{"topic", this->topic}, {"next", this->next}});
+    const auto a = this->alive;
+    this->on.on_loaded();
+    if (!*a) {
+      return;
+    }
+  }
+  if (all_read) {
+    this->schedule_read();
+  } else {
+    this->read();
+  }
 }
 
 void log_follower::schedule_read() {
--- a/src/cell/log_follower.h
+++ b/src/cell/log_follower.h
@@ -42,7 +42,10 @@
   void pace(millis min_interval);
   // Reads now, if it is only waiting for its next turn.
   void hurry();
+  // All records were delivered once, also those that came while the others were read.
   bool loaded() const { return this->is_loaded; }
+  // When nothing was left to read.
+  instant caught_up() const { return this->caught_up_at; }
   // All records below this offset have been delivered.
   std::int64_t position() const { return this->next; }
   // When the log last answered; a reader is at most this far behind plus one wait.
@@ -68,6 +71,8 @@
   timer next_try;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
   bool is_loaded = false;
+  bool loading = false;  // The newest records were read, and not yet all that followed.
+  instant caught_up_at{0};
   bool first_page = true;
   std::int64_t next = 0;
   std::int64_t load_end = 0;
--- a/src/cell/shared_log.h
+++ b/src/cell/shared_log.h
@@ -50,6 +50,7 @@
 struct read_answer {
   std::vector<logged_record> records;
   std::int64_t next = 0;         // Where to read on.
+  std::int64_t end = 0;          // Of the topic when it was read.
   bool history_dropped = false;  // The offset asked for is gone; read newest() again.
 };
 
--- a/src/cell/testing/fake_store.h
+++ b/src/cell/testing/fake_store.h
@@ -137,6 +137,7 @@
     if (this->end(topic) > offset || this->loop.now() >= until) {
       read_answer out;
       out.next = std::max(offset, this->end(topic));
+      out.end = this->end(topic);
       for (std::int64_t i = offset; i < this->end(topic); ++i) {
         out.records.push_back(this->topics[topic].records[static_cast<std::size_t>(i)]);
       }
--- a/src/cell/testing/follow_test.cc
+++ b/src/cell/testing/follow_test.cc
@@ -38,6 +38,51 @@
   return -1;
 }
 
+// A log whose answers the test gives.
+class held_log final : public shared_log {
+ public:
+  void append(append_request, std::function<void(append_answer)>) override {}
+  void read(const std::string&, std::int64_t, millis, reply<read_answer> on_answer) override {
+    this->reads.push_back(std::move(on_answer));
+  }
+  void newest(const std::string&, const std::string&, reply<newest_answer> on_answer) override {
+    this->pages.push_back(std::move(on_answer));
+  }
+  std::vector<reply<read_answer>> reads;
+  std::vector<reply<newest_answer>> pages;
+};
+
+TEST_CASE("A reader is up to date only when it has read what came while it loaded") {
+  fake_loop loop;
+  event_log events(fake_cell::log_descriptor(), loop, "test");
+  held_log log;
+  std::vector<std::string> seen;
+  bool loaded = false;
+  log_follower reader(loop, log, loop, events, "topic", {},
+                      {[&seen](const logged_record& r) { seen.push_back(r.record.key); },
+                       [&loaded] { loaded = true; },
+                       {}});
+  reader.start();
+  REQUIRE(log.pages.size() == 1);
+  log.pages[0](newest_answer{{{0, {"a", "1"}}}, 1, false});
+  loop.run_for(millis{4'000});
+  CHECK_FALSE(reader.loaded());
+  REQUIRE(log.reads.size() == 1);
+  read_answer part;
+  part.records = {{1, {"b", "1"}}};
+  part.next = 2;
+  part.end = 3;
+  log.reads[0](part);
+  CHECK_FALSE(loaded);
+  REQUIRE(log.reads.size() == 2);  // The rest is read at once.
+  part.records = {{2, {"c", "1"}}};
+  part.next = 3;
+  log.reads[1](part);
+  CHECK(loaded);
+  CHECK(reader.caught_up() == loop.now());
+  CHECK(seen == std::vector<std::string>{"a", "b", "c"});
+}
+
 TEST_CASE("Only the owner and its standbys read the work") {
   fake_cell cell(daemons, 4, 1, one_standby());
   cell.loop.run_for(settle_time);
--- a/src/cell/work_feed.h
+++ b/src/cell/work_feed.h
@@ -41,6 +41,8 @@
   instant last_contact() const {
     return this->follower ? this->follower->last_contact() : instant{0};
   }
+  // When the book held all that the log did.
+  instant caught_up() const { return this->follower ? this->follower->caught_up() : instant{0}; }
   void pace(millis min_interval);
   void hurry();
   job_book& book() { return this->jobs; }
