An end is noted at its runner only when it and all before it are stored

An end of a job that was settled already counts as stored at once; if an earlier end of the same runner was still on its way into the log, its number was covered as well, the runner forgot it, and with the owner's death nobody knew it any more. Change: a session keeps which ends are not stored yet, and notes up to the first of them.

--- a/src/cell/owner.cc
+++ b/src/cell/owner.cc
@@ -157,7 +157,7 @@
   const auto stored = [this, runner, number] {
     const auto it = this->sessions.find(runner);
     if (it != this->sessions.end()) {
-      it->second->ends_stored(number);
+      it->second->end_stored(number);
     }
   };
   if (this->state.jobs.contains(run.task.in.job)) {
--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -193,6 +193,7 @@
   this->events.write("runner_reborn", {{"runner", this->id}, {"born", now_born}});
   this->seen = 0;
   this->stored = 0;
+  this->unstored.clear();
   this->announced = false;
 }
 
@@ -202,6 +203,7 @@
       continue;
     }
     this->seen = end.number;
+    this->unstored.insert(end.number);
     const auto task = parse_task_ref(end.task);
     const run_key run{task.value_or(task_ref{}), end.run};
     this->runs.erase(run);
@@ -385,11 +387,11 @@
   });
 }
 
-void runner_session::ends_stored(std::int64_t number) {
-  if (number > this->seen) {
+void runner_session::end_stored(std::int64_t number) {
+  if (this->unstored.erase(number) == 0) {
     return;  // Of a former incarnation.
   }
-  this->stored = std::max(this->stored, number);
+  this->stored = this->unstored.empty() ? this->seen : *this->unstored.begin() - 1;
   this->look();
 }
 
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "async/event_log.h"
@@ -28,7 +29,7 @@
   // The runner answered under our token; its room is known now.
   virtual void runner_admitted(const std::string& runner, std::int64_t born) = 0;
   virtual void runner_silent(const std::string& runner) = 0;
-  // `number` is to be passed to ends_stored() when the end is in the log.
+  // `number` is to be passed to end_stored() when the end is in the log.
   virtual void run_ended(const std::string& runner, const run_key& run, run_end how,
                          const std::string& checkpoint, std::int64_t number) = 0;
   // The run is over or never began, without an end that the runner lists.
@@ -62,7 +63,8 @@
   void recover(const run_key& run);
   void start(const run_key& run, std::string payload, std::string ticket, std::string checkpoint);
   void stop(const run_key& run);
-  void ends_stored(std::int64_t number);
+  // The end with this number is in the log. Ends may be stored in any order.
+  void end_stored(std::int64_t number);
   void tick();
   bool has_runs() const { return !this->runs.empty(); }
   // It answered under our token in its present life, as far as known.
@@ -124,7 +126,9 @@
   instant clock_at{0};
   instant lapse_at;
   std::int64_t seen = 0;
+  // Ends up to this number are in the log, so the runner may forget them.
   std::int64_t stored = 0;
+  std::set<std::int64_t> unstored;  // Ends that were seen and are not in the log yet.
   bool look_in_flight = false;
   instant next_look{0};
   instant last_look{0};
