A slow agent does not make its runners look silent

Not traced to the end. A way that leads there: an agent that is late refuses orders as too old, its runners' looks fail one after the other until their leases count as lapsed, and work that ended starts again. Test: 'The owner itself looks at a runner whose agent brought no answer'.

--- a/src/decide/agent_book.cc
+++ b/src/decide/agent_book.cc
@@ -16,6 +16,13 @@
   this->agents[daemon].avoid_until = now + this->options.avoid_for;
 }
 
+void agent_book::unanswered(const std::string& runner, instant now) {
+  const auto it = this->runners.find(runner);
+  if (it != this->runners.end()) {
+    it->second.direct_until = now + this->options.direct_for;
+  }
+}
+
 void agent_book::runner_listed(const std::string& runner, const domain_id& zone) {
   this->runners[runner].zone = zone;
 }
@@ -71,6 +78,9 @@
     return std::nullopt;
   }
   carried_runner& carried = it->second;
+  if (now < carried.direct_until) {
+    return std::nullopt;
+  }
   if (!carried.agent.empty() && this->usable(this->agents[carried.agent], now)) {
     return carried.agent;
   }
--- a/src/decide/agent_book.h
+++ b/src/decide/agent_book.h
@@ -17,6 +17,9 @@
   millis silence{1'500};
   // After its connection broke a daemon carries none for this long.
   millis avoid_for{3'000};
+  // After an order that an agent did not bring an answer to, the owner speaks to that
+  // runner itself for this long: the fault may be the agent's or the runner's.
+  millis direct_for{2'000};
   // Hosts with less than this part of the strongest one's strength carry none.
   double weakest_part = 0.1;
   // A daemon of another zone counts as so much fuller: its bytes to the runner are dear.
@@ -35,6 +38,8 @@
   void heard(const std::string& daemon, const domain_id& zone, double strength, instant now);
   // The connection to the daemon broke: its runners go to others.
   void broke(const std::string& daemon, instant now);
+  // An order to the runner, through its agent, got no answer.
+  void unanswered(const std::string& runner, instant now);
   void runner_listed(const std::string& runner, const domain_id& zone);
   void runner_gone(const std::string& runner);
   // Nothing: the owner speaks to the runner itself.
@@ -52,6 +57,7 @@
   struct carried_runner {
     domain_id zone;
     std::string agent;  // Empty: none was chosen yet.
+    instant direct_until{0};
   };
 
   bool usable(const agent& a, instant now) const;
--- a/src/decide/testing/agent_book_test.cc
+++ b/src/decide/testing/agent_book_test.cc
@@ -59,6 +59,18 @@
   CHECK(uneven.carried_by("b") == 30);
 }
 
+TEST_CASE("The owner itself looks at a runner whose agent brought no answer") {
+  const agent_options options = always();
+  agent_book book(options);
+  book.heard("a", here, 1, start);
+  list_runners(book, 2, here);
+  book.unanswered("here0", start);
+  CHECK_FALSE(book.agent_of("here0", start));
+  CHECK(book.agent_of("here1", start) == "a");
+  book.heard("a", here, 1, start + options.direct_for);
+  CHECK(book.agent_of("here0", start + options.direct_for) == "a");
+}
+
 TEST_CASE("A runner stays with its agent, and leaves one that broke or fell silent") {
   const agent_options options = always();
   agent_book book(options);
