--- a/src/cell/cell_daemon.cc
+++ b/src/cell/cell_daemon.cc
@@ -39,6 +39,8 @@
               this->finish_takeover();
             },
             [this] { this->front.close_book(); }}),
+      peer_requests(given.peers, out, chosen.self, this->front, this->work, this->advice, *this,
+                    [this] { return this->beats(); }),
       claim(loop, given.log, now, out, complete(chosen.ownership, chosen),
             {[this](epoch at) { this->gained(at); },
              [this](const std::string& why) { this->lost(why); },
@@ -245,7 +247,7 @@
   this->events.write("owner_lost", {{"epoch", this->owned.value}, {"why", why}});
   this->metrics.count("owner_lost");
   this->fenced_at = -1;
-  this->storing.clear();
+  this->peer_requests.owner_lost();
   this->work.pace(this->options.book_interval);
   // Destroyed from the loop: this may be called from inside of them.
   this->retired = std::move(this->orders);
@@ -347,31 +349,9 @@
   return out;
 }
 
-void cell_daemon::answer_phase(const phase_request_message& request, const peer_address& from) {
-  const auto phase = this->front.phase_of(request.job);
-  if (phase.has_error()) {
-    return;  // Another daemon is asked next.
-  }
-  const std::optional<job_phase>& known = phase.value();
-  this->ports.peers.send(
-      {this->options.self.text,
-       phase_answer_message{request.request, known.has_value(), known.value_or(job_phase::queued)}},
-      from);
-}
-
-void cell_daemon::answer_pending(const pending_request_message& request, const peer_address& from) {
-  if (!this->work.loaded()) {
-    return;  // Another daemon is asked next.
-  }
-  this->ports.peers.send(
-      {this->options.self.text,
-       pending_answer_message{request.request, this->work.book().pending(request.queue)}},
-      from);
-}
-
 void cell_daemon::heard(const peer_message& message, const peer_address& from) {
   if (const auto* const request = std::get_if<advice_request_message>(&message.body)) {
-    this->advise(*request, from);
+    this->peer_requests.advise(*request, from);
   } else if (const auto* const beat_heard = std::get_if<owner_beat_message>(&message.body)) {
     this->hear_beat(*beat_heard, from);
   } else if (std::holds_alternative<hello_message>(message.body)) {
@@ -381,15 +361,15 @@
       this->orders->heard(message.sender, from, hello);
     }
   } else if (const auto* const wanted = std::get_if<store_request_message>(&message.body)) {
-    this->store_for_peer(message.sender, *wanted, from);
+    this->peer_requests.store(message.sender, *wanted, from);
   } else if (const auto* const stored = std::get_if<store_answer_message>(&message.body)) {
     this->relay.answered(*stored);
   } else if (const auto* const asked = std::get_if<phase_request_message>(&message.body)) {
-    this->answer_phase(*asked, from);
+    this->peer_requests.answer(*asked, from);
   } else if (const auto* const told = std::get_if<phase_answer_message>(&message.body)) {
     this->elsewhere.answered(*told);
   } else if (const auto* const asked_for = std::get_if<pending_request_message>(&message.body)) {
-    this->answer_pending(*asked_for, from);
+    this->peer_requests.answer(*asked_for, from);
   } else if (const auto* const pending = std::get_if<pending_answer_message>(&message.body)) {
     this->elsewhere.answered(*pending);
   } else if (const auto* const answer = std::get_if<advice_answer_message>(&message.body)) {
@@ -403,57 +383,4 @@
   this->orders->store(std::move(record), std::move(on_stored));
 }
 
-// A peer that is cut off from the log may not know the newest configuration: its
-// caller is judged again by a newer one. While this daemon cannot store it does not
-// answer; its beats have stopped, and the peer goes another way.
-void cell_daemon::store_for_peer(const std::string& sender, const store_request_message& request,
-                                 const peer_address& from) {
-  if (!this->beats()) {
-    return;
-  }
-  const auto answer = [this, from, number = request.request](const store_answer_message& what) {
-    store_answer_message out = what;
-    out.request = number;
-    this->ports.peers.send({this->options.self.text, std::move(out)}, from);
-  };
-  if (request.version < this->front.config().version) {
-    const auto judged = this->front.identify(request.host, request.path, request.caller_key);
-    if (judged.has_error()) {
-      answer({0, false, judged.error().code, judged.error().detail});
-      return;
-    }
-  }
-  const auto key = parse_key(request.record_key);
-  if (!key || (key->kind != record_kind::submission && key->kind != record_kind::cancellation)) {
-    this->events.write("peer_record_refused", {{"from", sender}, {"key", request.record_key}});
-    answer({0, false, error_code::bad_request, "not a caller's record"});
-    return;
-  }
-  const job_record* const known = this->work.book().find(key->job);
-  if (known != nullptr && known->submission && key->kind == record_kind::submission) {
-    answer({0, true, {}, {}});
-    return;
-  }
-  const std::pair<std::string, std::int64_t> id{sender, request.request};
-  if (!this->storing.insert(id).second) {
-    return;  // A repeat; the answer comes when the record is in the log.
-  }
-  this->orders->store({request.record_key, request.record_value}, [this, id, answer] {
-    this->storing.erase(id);
-    answer({0, true, {}, {}});
-  });
-}
-
-void cell_daemon::advise(const advice_request_message& request, const peer_address& from) {
-  this->advice.ask(
-      {request.step, request.runners, millis{request.expected_ms},
-       [this, number = request.request, from](bool answered, const std::vector<ticket>& tickets) {
-         advice_answer_message answer{number, answered, {}};
-         for (const ticket& t : tickets) {
-           answer.tickets.push_back({t.runner, t.text});
-         }
-         this->ports.peers.send({this->options.self.text, std::move(answer)}, from);
-       }});
-}
-
 }  // namespace monsoonmux::cell
--- a/src/cell/cell_daemon.h
+++ b/src/cell/cell_daemon.h
@@ -16,6 +16,7 @@
 #include "cell/owner.h"
 #include "cell/owner_relay.h"
 #include "cell/ownership.h"
+#include "cell/peer_desk.h"
 #include "cell/peer_port.h"
 #include "cell/state_inquiry.h"
 #include "cell/submission_writer.h"
@@ -107,15 +108,10 @@
   void finish_takeover();
   void say_hello();
   void hear_beat(const owner_beat_message& beat, const peer_address& from);
-  void advise(const advice_request_message& request, const peer_address& from);
-  void answer_phase(const phase_request_message& request, const peer_address& from);
-  void answer_pending(const pending_request_message& request, const peer_address& from);
   // Who may know what this daemon's book does not.
   std::vector<peer_address> knowing_peers() const;
   millis claim_handicap() const;
   instant log_contact() const;
-  void store_for_peer(const std::string& sender, const store_request_message& request,
-                      const peer_address& from);
   void send_beat();
   void note_standbys(const owner_beat_message& heard);
   // Logs when beats of an owner begin or cease to arrive.
@@ -137,6 +133,7 @@
   advice_desk advice;
   log_follower config_feed;
   work_feed work;
+  peer_desk peer_requests;
   ownership claim;
   std::unique_ptr<log_follower> runner_feed;
   std::unique_ptr<owner> orders;
@@ -152,8 +149,6 @@
   timer retire;
   std::unique_ptr<owner> retired;
   std::unique_ptr<log_follower> retired_feed;
-  // Peers' records that are on their way into the log: sender and its number.
-  std::set<std::pair<std::string, std::int64_t>> storing;
   bool hears_owner = false;
   bool draining = false;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- /dev/null
+++ b/src/cell/peer_desk.cc
@@ -0,0 +1,97 @@
+// Nothing is answered that this daemon does not know for sure: silence sends the peer to
+// another daemon, a wrong answer would reach a caller.
+
+#include "cell/peer_desk.h"
+
+namespace monsoonmux::cell {
+
+peer_desk::peer_desk(peer_port& peers_link, event_log& out, daemon_id name, job_desk& front,
+                     work_feed& feed, advice_desk& asks, local_owner& here,
+                     std::function<bool()> owner_beats)
+    : link(peers_link),
+      events(out),
+      self(std::move(name)),
+      desk(front),
+      work(feed),
+      advice(asks),
+      owner(here),
+      beats(std::move(owner_beats)) {}
+
+void peer_desk::advise(const advice_request_message& request, const peer_address& from) {
+  this->advice.ask(
+      {request.step, request.runners, millis{request.expected_ms},
+       [this, number = request.request, from](bool answered, const std::vector<ticket>& tickets) {
+         advice_answer_message answer{number, answered, {}};
+         for (const ticket& t : tickets) {
+           answer.tickets.push_back({t.runner, t.text});
+         }
+         this->link.send({this->self.text, std::move(answer)}, from);
+       }});
+}
+
+void peer_desk::answer(const phase_request_message& request, const peer_address& from) {
+  const auto phase = this->desk.phase_of(request.job);
+  if (phase.has_error()) {
+    return;  // Another daemon is asked next.
+  }
+  const std::optional<job_phase>& known = phase.value();
+  this->link.send({this->self.text, phase_answer_message{request.request, known.has_value(),
+                                                         known.value_or(job_phase::queued)}},
+                  from);
+}
+
+void peer_desk::answer(const pending_request_message& request, const peer_address& from) {
+  if (!this->work.loaded()) {
+    return;  // Another daemon is asked next.
+  }
+  this->link.send(
+      {this->self.text,
+       pending_answer_message{request.request, this->work.book().pending(request.queue)}},
+      from);
+}
+
+void peer_desk::send_stored(const store_request_message& request, const peer_address& to,
+                            store_answer_message answer) {
+  answer.request = request.request;
+  this->link.send({this->self.text, std::move(answer)}, to);
+}
+
+// A peer that is cut off from the log may not know the newest configuration: its
+// caller is judged again by a newer one. While this daemon cannot store it does not
+// answer; its beats have stopped, and the peer goes another way.
+void peer_desk::store(const std::string& sender, const store_request_message& request,
+                      const peer_address& from) {
+  if (!this->beats()) {
+    return;
+  }
+  if (request.version < this->desk.config().version) {
+    const auto judged = this->desk.identify(request.host, request.path, request.caller_key);
+    if (judged.has_error()) {
+      this->send_stored(request, from, {0, false, judged.error().code, judged.error().detail});
+      return;
+    }
+  }
+  const auto key = parse_key(request.record_key);
+  if (!key || (key->kind != record_kind::submission && key->kind != record_kind::cancellation)) {
+    this->events.write("peer_record_refused", {{"from", sender}, {"key", request.record_key}});
+    this->send_stored(request, from, {0, false, error_code::bad_request, "not a caller's record"});
+    return;
+  }
+  const job_record* const known = this->work.book().find(key->job);
+  if (known != nullptr && known->submission && key->kind == record_kind::submission) {
+    this->send_stored(request, from, {0, true, {}, {}});
+    return;
+  }
+  const std::pair<std::string, std::int64_t> id{sender, request.request};
+  if (!this->storing.insert(id).second) {
+    return;  // A repeat; the answer comes when the record is in the log.
+  }
+  store_request_message asked;
+  asked.request = request.request;
+  this->owner.store({request.record_key, request.record_value}, [this, id, asked, from] {
+    this->storing.erase(id);
+    this->send_stored(asked, from, {0, true, {}, {}});
+  });
+}
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/peer_desk.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "async/event_log.h"
+#include "cell/advice_desk.h"
+#include "cell/job_desk.h"
+#include "cell/owner_relay.h"
+#include "cell/peer_port.h"
+#include "cell/work_feed.h"
+
+namespace monsoonmux::cell {
+
+// What a daemon does for its peers: asks the advice service for the owner, tells how
+// jobs are, and, as the owner, writes callers' records.
+class peer_desk {
+ public:
+  // `beats`: peers may count on this daemon's owner.
+  peer_desk(peer_port& link, event_log& events, daemon_id self, job_desk& desk, work_feed& work,
+            advice_desk& advice, local_owner& owner, std::function<bool()> beats);
+
+  void advise(const advice_request_message& request, const peer_address& from);
+  void answer(const phase_request_message& request, const peer_address& from);
+  void answer(const pending_request_message& request, const peer_address& from);
+  void store(const std::string& sender, const store_request_message& request,
+             const peer_address& from);
+  // What the owner had not stored yet it will not store any more.
+  void owner_lost() { this->storing.clear(); }
+
+ private:
+  void send_stored(const store_request_message& request, const peer_address& to,
+                   store_answer_message answer);
+
+  peer_port& link;
+  event_log& events;
+  const daemon_id self;
+  job_desk& desk;
+  work_feed& work;
+  advice_desk& advice;
+  local_owner& owner;
+  const std::function<bool()> beats;
+  // Records that are on their way into the log: sender and its number.
+  std::set<std::pair<std::string, std::int64_t>> storing;
+};
+
+}  // namespace monsoonmux::cell
