--- /dev/null
+++ b/src/cell/owner_ends.cc
@@ -0,0 +1,136 @@
+// What the owner makes of a run that is over: room and limits are given back, the job
+// goes on or is settled, and the end is noted at its runner once the log has it.
+
+#include "cell/owner.h"
+
+namespace monsoonmux::cell {
+
+bool owner::free_room(const std::string& runner, const run_key& run) {
+  runner_state* const r = this->state.runners.find(runner);
+  if (r == nullptr) {
+    return false;
+  }
+  const auto it = r->residents.find(run);
+  if (it == r->residents.end()) {
+    return false;
+  }
+  this->state.tenants.remove(it->second.tenant, it->second.counted);
+  return this->state.runners.remove(runner, run);
+}
+
+void owner::run_ended(const std::string& runner, const run_key& run, run_end how,
+                      const std::string& checkpoint, std::int64_t number) {
+  this->settle_end(runner, run, how, checkpoint);
+  const auto stored = [this, runner, number] {
+    const auto it = this->sessions.find(runner);
+    if (it != this->sessions.end()) {
+      it->second->end_stored(number);
+    }
+  };
+  if (this->state.jobs.contains(run.task.in.job)) {
+    this->writer.write(run.task.in.job, stored);
+  } else {
+    this->services.io.post([stored, a = std::weak_ptr<bool>(this->alive)] {
+      if (!a.expired()) {
+        stored();
+      }
+    });
+  }
+}
+
+void owner::run_gone(const std::string& runner, const run_key& run, std::string_view why) {
+  this->services.events.write(
+      "run_gone", {{"task", run.task.text()}, {"run", run.run}, {"runner", runner}, {"why", why}});
+  this->services.metrics.count("runs_gone");
+  this->settle_end(runner, run, run_end::lost, {});
+  if (this->state.jobs.contains(run.task.in.job)) {
+    this->writer.write(run.task.in.job);
+  }
+}
+
+void owner::settle_end(const std::string& runner, const run_key& run, run_end how,
+                       const std::string& checkpoint) {
+  this->free_room(runner, run);
+  this->request_plan();
+  const auto it = this->state.jobs.find(run.task.in.job);
+  if (it == this->state.jobs.end()) {
+    return;
+  }
+  live_job& job = it->second;
+  const live_task* const task = job.find(run.task);
+  // A run of which only a part was seen tells nothing of how long the task takes.
+  const bool seen_whole = task != nullptr && !task->inherited && !task->resumed;
+  const instant placed_at = task != nullptr ? task->placed_at : instant{0};
+  const end_effect effect = job.finish(run.task, run.run, how, checkpoint);
+  if (!effect.counted) {
+    this->forget_if_over(run.task.in.job);
+    return;
+  }
+  if (how == run_end::done || how == run_end::failed) {
+    this->state.runners.note_end(runner, how == run_end::failed, this->services.time.now());
+  }
+  if (how == run_end::done) {
+    if (seen_whole) {
+      const step_spec& shape = job.spec().steps[static_cast<std::size_t>(run.task.in.step)];
+      this->state.run_times.note(job.submission().queue, runner, shape.estimate,
+                                 this->services.time.now() - placed_at);
+    }
+  } else {
+    this->services.events.write(
+        "run_ended",
+        {{"task", run.task.text()}, {"run", run.run}, {"runner", runner}, {"how", to_string(how)}});
+  }
+  this->services.metrics.count("runs_ended");
+  this->after_end(job, run, how, effect);
+}
+
+void owner::after_end(live_job& job, const run_key& run, run_end how, const end_effect& effect) {
+  const step_spec& shape = job.spec().steps[static_cast<std::size_t>(run.task.in.step)];
+  if (shape.gang && how != run_end::done) {
+    this->stop_gang(job, run);
+  }
+  if (!effect.job_final) {
+    if (is_final(job.phase())) {
+      this->forget_if_over(run.task.in.job);
+    }
+    return;
+  }
+  this->services.events.write("job_over",
+                              {{"job", run.task.in.job.text}, {"phase", to_string(job.phase())}});
+  this->services.metrics.count("jobs_over");
+  if (job.phase() != job_phase::completed) {
+    this->stop_runs(job);
+  }
+  this->forget_if_over(run.task.in.job);
+}
+
+void owner::stop_gang(live_job& job, const run_key& run) {
+  const auto it = job.occurrences().find(run.task.in.occurrence);
+  if (it == job.occurrences().end()) {
+    return;
+  }
+  const auto& members = it->second.steps[static_cast<std::size_t>(run.task.in.step)].tasks;
+  for (std::size_t i = 0; i < members.size(); ++i) {
+    if (members[i].phase == task_phase::placed) {
+      this->session_of(members[i].runner)
+          .stop({{run.task.in, static_cast<std::int32_t>(i)}, members[i].run});
+    }
+  }
+}
+
+void owner::forget_if_over(const job_id& id) {
+  const auto it = this->state.jobs.find(id);
+  if (it == this->state.jobs.end() || !is_final(it->second.phase()) ||
+      it->second.has_placed_tasks()) {
+    return;
+  }
+  this->state.advice.forget(id);
+  this->writer.write(id, [this, id] {
+    const auto over = this->state.jobs.find(id);
+    if (over != this->state.jobs.end() && !over->second.has_placed_tasks()) {
+      this->state.jobs.erase(over);
+    }
+  });
+}
+
+}  // namespace monsoonmux::cell
