--- a/src/cell/testing/agent_test.cc
+++ b/src/cell/testing/agent_test.cc
@@ -21,18 +21,9 @@
   return out;
 }
 
-int owner_of(const fake_cell& cell) {
-  for (std::size_t i = 0; i < cell.nodes.size(); ++i) {
-    if (cell.nodes[i]->daemon && cell.nodes[i]->daemon->owns()) {
-      return static_cast<int>(i);
-    }
-  }
-  return -1;
-}
-
 // A daemon other than the owner.
 int agent_of(const fake_cell& cell) {
-  return (owner_of(cell) + 1) % static_cast<int>(cell.nodes.size());
+  return (cell.owner() + 1) % static_cast<int>(cell.nodes.size());
 }
 
 std::string job_name(int i) {
@@ -52,7 +43,7 @@
 TEST_CASE("Jobs are done through agents, and the owner calls no runner itself") {
   fake_cell cell(3, 4, 1, through_agents());
   cell.loop.run_for(settle_time);
-  const int owner = owner_of(cell);
+  const int owner = cell.owner();
   REQUIRE(owner >= 0);
   const std::int64_t before = cell.nodes[static_cast<std::size_t>(owner)]->orders.sent;
   for (int i = 0; i < 10; ++i) {
@@ -67,10 +58,10 @@
 TEST_CASE("When an agent dies its runners are carried by others") {
   fake_cell cell(3, 4, 2, through_agents());
   cell.loop.run_for(settle_time);
-  cell.submit(owner_of(cell), job_name(0), fake_cell::simple_job(12));
+  cell.submit(cell.owner(), job_name(0), fake_cell::simple_job(12));
   cell.loop.run_for(millis{200});
   cell.nodes[static_cast<std::size_t>(agent_of(cell))]->kill();
-  cell.submit(owner_of(cell), job_name(1), fake_cell::simple_job(12));
+  cell.submit(cell.owner(), job_name(1), fake_cell::simple_job(12));
   constexpr millis long_before_a_lease_lapses{5'500};
   cell.loop.run_for(long_before_a_lease_lapses);
   check_completed(cell, 2, 24);
@@ -81,7 +72,7 @@
     INFO("seed " << seed);
     fake_cell cell(3, 4, seed, through_agents());
     cell.loop.run_for(settle_time + millis{seed * 7});
-    const int owner = owner_of(cell);
+    const int owner = cell.owner();
     REQUIRE(owner >= 0);
     cell.submit(owner, job_name(0), fake_cell::simple_job(12));
     cell.loop.run_for(millis{5 + seed % 30});
@@ -96,7 +87,7 @@
 TEST_CASE("A frozen agent gives no order to a runner that was reborn meanwhile") {
   fake_cell cell(3, 1, 1, through_agents());
   cell.loop.run_for(settle_time);
-  const int owner = owner_of(cell);
+  const int owner = cell.owner();
   REQUIRE(owner >= 0);
   cell.submit(owner, job_name(0), fake_cell::simple_job(2));
   cell.loop.run_for(millis{2'000});
@@ -121,7 +112,7 @@
     INFO("seed " << seed);
     fake_cell cell(3, 4, seed, through_agents());
     cell.loop.run_for(settle_time);
-    const int owner = owner_of(cell);
+    const int owner = cell.owner();
     REQUIRE(owner >= 0);
     cell.submit(owner, job_name(0), fake_cell::simple_job(12));
     cell.loop.run_for(millis{5 + seed});
@@ -139,7 +130,7 @@
     INFO("seed " << seed);
     fake_cell cell(4, 4, seed, through_agents());
     cell.loop.run_for(settle_time);
-    const int owner = owner_of(cell);
+    const int owner = cell.owner();
     REQUIRE(owner >= 0);
     cell.submit(owner, job_name(0), fake_cell::simple_job(12));
     cell.loop.run_for(millis{5 + seed});
--- a/src/cell/testing/cell_test.cc
+++ b/src/cell/testing/cell_test.cc
@@ -20,17 +20,6 @@
   }
 }
 
-// The present owner; -1 if there is none.
-int owner_of(const fake_cell& cell) {
-  for (std::size_t i = 0; i < cell.nodes.size(); ++i) {
-    const auto& node = cell.nodes[i];
-    if (node->daemon && node->daemon->owns()) {
-      return static_cast<int>(i);
-    }
-  }
-  return -1;
-}
-
 TEST_CASE("Jobs handed in at any daemon are completed once") {
   fake_cell cell(3, 4, 1);
   cell.loop.run_for(boot_time);
@@ -123,7 +112,7 @@
   cell.loop.run_for(boot_time);
   cell.submit(0, job_name(0), fake_cell::simple_job(2));
   cell.loop.run_for(millis{300});
-  const int owner = owner_of(cell);
+  const int owner = cell.owner();
   REQUIRE(owner >= 0);
   cell.nodes[static_cast<std::size_t>(owner)]->kill();
   cell.submit((owner + 1) % 3, job_name(1), fake_cell::simple_job(2));
@@ -141,7 +130,7 @@
     INFO("seed " << seed);
     fake_cell cell(3, 2, seed);
     cell.loop.run_for(boot_time);
-    const int former = owner_of(cell);
+    const int former = cell.owner();
     REQUIRE(former >= 0);
     cell.nodes[static_cast<std::size_t>(former)]->kill();
     cell.submit((former + 1) % 3, job_name(1), fake_cell::simple_job(2));
@@ -155,7 +144,7 @@
     INFO("seed " << seed);
     fake_cell cell(8, 2, seed);
     cell.loop.run_for(millis{6'000});
-    const int former = owner_of(cell);
+    const int former = cell.owner();
     REQUIRE(former >= 0);
     const std::int64_t before = cell.store.claims();
     cell.nodes[static_cast<std::size_t>(former)]->kill();
@@ -167,7 +156,7 @@
 TEST_CASE("An owner that is cut off from the log is followed, though it lives") {
   fake_cell cell(3, 2, 11);
   cell.loop.run_for(boot_time);
-  const int former = owner_of(cell);
+  const int former = cell.owner();
   REQUIRE(former >= 0);
   cell.store.cut.insert(cell.nodes[static_cast<std::size_t>(former)]->name);
   cell.submit((former + 1) % 3, job_name(1), fake_cell::simple_job(2));
@@ -179,7 +168,7 @@
 TEST_CASE("An owner that is stopped as planned works on until its successor can") {
   fake_cell cell(3, 2, 16);
   cell.loop.run_for(boot_time);
-  const int former = owner_of(cell);
+  const int former = cell.owner();
   REQUIRE(former >= 0);
   cell.store.latency = millis{100};
   cell.loop.run_for(millis{1'000});
@@ -190,7 +179,7 @@
   CHECK(cell.history.starts == 2);
   cell.loop.run_for(millis{2'000});
   CHECK(resigned);
-  const int next = owner_of(cell);
+  const int next = cell.owner();
   CHECK(next >= 0);
   CHECK(next != former);
   cell.nodes[static_cast<std::size_t>(former)]->kill();
@@ -203,7 +192,7 @@
   // Daemons that wrote for themselves would make the log slower still for each other.
   fake_cell cell(3, 4, 17);
   cell.loop.run_for(boot_time);
-  const int owner = owner_of(cell);
+  const int owner = cell.owner();
   REQUIRE(owner >= 0);
   cell.store.latency = millis{240};
   cell.store.appends.clear();
@@ -223,17 +212,17 @@
 TEST_CASE("An owner whose beats are lost keeps its claim") {
   fake_cell cell(3, 2, 12);
   cell.loop.run_for(boot_time);
-  const int former = owner_of(cell);
+  const int former = cell.owner();
   REQUIRE(former >= 0);
   cell.deaf.insert(cell.nodes[static_cast<std::size_t>(former)]->name);
   cell.loop.run_for(millis{20'000});
-  CHECK(owner_of(cell) == former);
+  CHECK(cell.owner() == former);
 }
 
 TEST_CASE("Other daemons know a job's state before they read it in the log") {
   fake_cell cell(2, 2, 13);
   cell.loop.run_for(boot_time);
-  const int owner = owner_of(cell);
+  const int owner = cell.owner();
   REQUIRE(owner >= 0);
   cell_daemon& other = *cell.nodes[static_cast<std::size_t>(1 - owner)]->daemon;
   cell.submit(owner, job_name(0), fake_cell::simple_job(1));
@@ -249,7 +238,7 @@
 TEST_CASE("A daemon that is cut off from the log takes jobs through the owner") {
   fake_cell cell(3, 2, 14);
   cell.loop.run_for(boot_time);
-  const int owner = owner_of(cell);
+  const int owner = cell.owner();
   REQUIRE(owner >= 0);
   const int other = (owner + 1) % 3;
   cell.store.cut.insert(cell.nodes[static_cast<std::size_t>(other)]->name);
@@ -269,7 +258,7 @@
 TEST_CASE("A daemon that is cut off from the log hears of the owner's successor") {
   fake_cell cell(3, 2, 18);
   cell.loop.run_for(millis{15'000});  // Longer than a silent peer is remembered.
-  const int former = owner_of(cell);
+  const int former = cell.owner();
   REQUIRE(former >= 0);
   const int other = (former + 1) % 3;
   cell.store.cut.insert(cell.nodes[static_cast<std::size_t>(other)]->name);
@@ -286,7 +275,7 @@
   cell.config.queues[0].open = false;
   cell.config.tenants.push_back({team_id("t"), {"old key"}, 1, {}});
   cell.loop.run_for(boot_time);
-  const int owner = owner_of(cell);
+  const int owner = cell.owner();
   REQUIRE(owner >= 0);
   fake_cell::node& other = *cell.nodes[static_cast<std::size_t>(1 - owner)];
   cell.store.cut.insert(other.name);
@@ -320,7 +309,7 @@
   cell.runners[0]->task_time = millis{4'000};
   cell.submit(0, job_name(0), fake_cell::simple_job(6));
   cell.loop.run_for(millis{2'000});
-  const int former = owner_of(cell);
+  const int former = cell.owner();
   REQUIRE(former >= 0);
   cell.nodes[static_cast<std::size_t>(former)]->kill();
   cell.loop.run_for(millis{3'000});
@@ -342,11 +331,11 @@
   cell.submit(0, job_name(0), fake_cell::simple_job(8));
   cell.loop.run_for(millis{4'000});
   REQUIRE(cell.phase(job_name(0)) == job_phase::completed);
-  const int former = owner_of(cell);
+  const int former = cell.owner();
   REQUIRE(former >= 0);
   cell.nodes[static_cast<std::size_t>(former)]->kill();
   cell.loop.run_for(millis{3'000});
-  const int next = owner_of(cell);
+  const int next = cell.owner();
   REQUIRE(next >= 0);
   const run_time_book* const times =
       cell.nodes[static_cast<std::size_t>(next)]->daemon->run_times();
--- a/src/cell/testing/fake_cell.h
+++ b/src/cell/testing/fake_cell.h
@@ -217,6 +217,15 @@
     this->loop.run_for(wait);
     return *told;
   }
+  // The daemon that gives orders; -1 if there is none.
+  int owner() const {
+    for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+      if (this->nodes[i]->daemon && this->nodes[i]->daemon->owns()) {
+        return static_cast<int>(i);
+      }
+    }
+    return -1;
+  }
   // Daemons that read the records of the work.
   std::vector<int> followers() const {
     std::vector<int> out;
--- a/src/cell/testing/follow_test.cc
+++ b/src/cell/testing/follow_test.cc
@@ -17,15 +17,6 @@
   return out;
 }
 
-int owner_of(const fake_cell& cell) {
-  for (std::size_t i = 0; i < cell.nodes.size(); ++i) {
-    if (cell.nodes[i]->daemon && cell.nodes[i]->daemon->owns()) {
-      return static_cast<int>(i);
-    }
-  }
-  return -1;
-}
-
 // A daemon that is up and does not read the work.
 int other_daemon(const fake_cell& cell) {
   const std::vector<int> followers = cell.followers();
@@ -153,13 +144,13 @@
   fake_cell cell(daemons, 4, 5, one_standby());
   cell.loop.run_for(settle_time);
   const std::vector<int> before = cell.followers();
-  const int first = owner_of(cell);
+  const int first = cell.owner();
   cell.submit(first, job, fake_cell::simple_job(3));
   cell.loop.run_for(millis{300});
   cell.nodes[static_cast<std::size_t>(first)]->kill();
   constexpr millis takeover{1'300};
   cell.loop.run_for(takeover);
-  const int next = owner_of(cell);
+  const int next = cell.owner();
   REQUIRE(next >= 0);
   CHECK(std::find(before.begin(), before.end(), next) != before.end());
   cell.loop.run_for(settle_time);
@@ -180,7 +171,7 @@
     cell.nodes[static_cast<std::size_t>(follower)]->kill();
   }
   cell.loop.run_for(settle_time);
-  REQUIRE(owner_of(cell) >= 0);
+  REQUIRE(cell.owner() >= 0);
   const auto told = cell.ask(other_daemon(cell), job, millis{20});
   REQUIRE(told);
   CHECK(told->value() == job_phase::completed);
