Tests: random cells, the runs' history and what cell tests share in files of their own

Moved only: the same seeds, the same checks. job_name, check_history and the options for agents stood twice and now stand once, in cell_checks.h.

--- a/src/cell/testing/agent_test.cc
+++ b/src/cell/testing/agent_test.cc
@@ -8,36 +8,24 @@
 #include "cell/agent_listener.h"
 #include "cell/agent_pool.h"
 #include "cell/asio_loop.h"
-#include "cell/testing/fake_cell.h"
+#include "cell/testing/cell_checks.h"
 
 namespace monsoonmux::cell {
 namespace {
 
 constexpr millis settle_time{6'000};
 
-daemon_options through_agents() {
-  daemon_options out;
-  out.leader.agents.assignment.max_direct_runners = 0;
-  return out;
-}
-
 // A daemon other than the leader.
 int agent_of(const fake_cell& cell) {
   return (cell.leader() + 1) % static_cast<int>(cell.nodes.size());
 }
 
-std::string job_name(int i) {
-  return "job" + std::to_string(1'000 + i);
-}
-
 void check_completed(fake_cell& cell, int jobs, std::int64_t tasks) {
   for (int i = 0; i < jobs; ++i) {
     CHECK(cell.phase(job_name(i)) == job_phase::completed);
   }
   CHECK(cell.history.starts >= tasks);
-  for (const std::string& broken : cell.history.broken) {
-    FAIL_CHECK(broken);
-  }
+  check_history(cell);
 }
 
 TEST_CASE("Jobs run through agents, and the leader calls no runner itself") {
--- /dev/null
+++ b/src/cell/testing/random_fault_test.cc
@@ -0,0 +1,168 @@
+// Complete cells on a simulated clock under random faults, against the history's checks.
+
+#include <catch2/catch.hpp>
+
+#include "cell/testing/cell_checks.h"
+
+namespace monsoonmux::cell {
+namespace {
+
+const std::string limited_prefix = "limited";
+const std::string gang_prefix = "gang";
+constexpr int gang_size = 3;
+// Each task needs a core.
+constexpr int tasks_in_limit = static_cast<int>(fake_cell::team_limit.value / 1'000);
+
+// Submits a job of the given number of tasks, or a gang, or a job of the limited team.
+void submit_some(fake_cell& cell, int daemon, int number, int tasks) {
+  if (number % 4 == 2) {
+    cell.submit_limited(daemon, limited_prefix + std::to_string(number),
+                        fake_cell::simple_job(tasks));
+  } else if (number % 4 == 3) {
+    job_spec gang = fake_cell::simple_job(gang_size);
+    gang.steps[0].gang = true;
+    cell.submit(daemon, gang_prefix + std::to_string(number), gang);
+  } else {
+    cell.submit(daemon, job_name(number), fake_cell::simple_job(tasks));
+  }
+}
+
+// Injects random faults for 15 seconds and then ends them all. Checks that all accepted
+// jobs are over, that no task ran twice at a time or again after its end was acknowledged,
+// and that no refused job exists. `with_agents`: all commands of the leader go through
+// agents on other daemons.
+void random_fault_run(std::uint32_t seed, bool with_agents) {
+  INFO("seed " << seed << (with_agents ? ", through agents" : ""));
+  fake_cell cell(3, 4, seed, with_agents ? through_agents() : daemon_options{});
+  cell.add_limited_team();
+  cell.loop.run_for(boot_time);
+  auto& random = cell.random;
+  cell.history.limits[limited_prefix] = tasks_in_limit;
+  cell.history.gangs[gang_prefix] = gang_size;
+  for (auto& runner : cell.runners) {
+    runner->clock_rate = random() % 2 == 0 ? 0.98 : 1.0;
+    runner->late_commands = random() % 4 == 0 ? 0.1 : 0;
+    runner->failure_rate = 0.03;
+  }
+  const auto daemon = [&]() -> fake_cell::node& {
+    return *cell.nodes[random() % cell.nodes.size()];
+  };
+  for (int tick = 0; tick < 60; ++tick) {
+    submit_some(cell, static_cast<int>(random() % 3), tick, 1 + static_cast<int>(random() % 4));
+    fake_runner& runner = *cell.runners[random() % cell.runners.size()];
+    switch (random() % 16) {
+      case 0:
+        daemon().process.freeze_until(cell.loop.now() +
+                                      millis{static_cast<std::int64_t>(500 + random() % 6'000)});
+        break;
+      case 1: {
+        fake_cell::node& n = daemon();
+        if (n.daemon) {
+          n.kill();
+        } else {
+          n.boot(cell);
+        }
+        break;
+      }
+      case 2:
+        cell.store.down = !cell.store.down;
+        break;
+      case 3:
+        cell.store.partitioned.insert(daemon().name);
+        break;
+      case 4:
+        cell.store.partitioned.clear();
+        break;
+      case 5:
+        runner.partitioned.insert(daemon().name);
+        break;
+      case 6:
+        runner.partitioned.clear();
+        break;
+      case 7:
+        if (runner.up) {
+          runner.crash();
+        } else {
+          runner.restart();
+          cell.store.put("runners", runner.entry.id, "1");
+        }
+        break;
+      case 9:
+        cell.lost_datagrams = cell.lost_datagrams > 0 ? 0 : 0.3;
+        break;
+      case 10:
+        if (cell.isolated.empty()) {
+          cell.isolated.insert(daemon().name);
+        } else {
+          cell.isolated.clear();
+        }
+        break;
+      case 8:
+        cell.store.lost_answers = cell.store.lost_answers > 0 ? 0 : 0.3;
+        cell.store.late_appends = cell.store.late_appends > 0 ? 0 : 0.1;
+        break;
+      default:
+        break;
+    }
+    cell.loop.run_for(millis{250});
+  }
+  cell.store.down = false;
+  cell.store.partitioned.clear();
+  cell.store.lost_answers = 0;
+  cell.store.late_appends = 0;
+  cell.lost_datagrams = 0;
+  cell.isolated.clear();
+  for (auto& runner : cell.runners) {
+    runner->partitioned.clear();
+    runner->late_commands = 0;
+    if (!runner->up) {
+      runner->restart();
+      cell.store.put("runners", runner->entry.id, "1");
+    }
+  }
+  for (auto& n : cell.nodes) {
+    if (!n->daemon) {
+      n->boot(cell);
+    }
+  }
+  cell.loop.run_for(millis{60'000});
+  check_history(cell);
+  for (const std::string& id : cell.accepted) {
+    INFO(id);
+    const auto phase = cell.phase(id);
+    REQUIRE(phase.has_value());
+    const bool over = *phase == job_phase::completed || *phase == job_phase::failed;
+    CHECK(over);
+    if (id.starts_with(gang_prefix) && *phase == job_phase::completed) {
+      CHECK(cell.history.most_together[id + ".0.0."] == gang_size);
+    }
+  }
+  for (const std::string& id : cell.refused) {
+    if (!cell.accepted.contains(id)) {
+      CHECK_FALSE(cell.phase(id).has_value());
+    }
+  }
+}
+
+// MONSOONMUX_SEEDS sets another number of random runs than the default, which CI uses.
+std::uint32_t seed_count() {
+  constexpr std::uint32_t usual = 150;
+  const char* const asked = std::getenv("MONSOONMUX_SEEDS");
+  return asked != nullptr ? static_cast<std::uint32_t>(std::atoi(asked)) : usual;
+}
+
+TEST_CASE("Under random faults, no accepted job is lost and no task runs twice") {
+  // To trace a seed, MONSOONMUX_ONLY_SEED runs only that one and prints its events.
+  if (const char* const only = std::getenv("MONSOONMUX_ONLY_SEED")) {
+    random_fault_run(static_cast<std::uint32_t>(std::atoi(only)),
+                     std::getenv("MONSOONMUX_THROUGH_AGENTS") != nullptr);
+    return;
+  }
+  for (std::uint32_t seed = 1; seed <= seed_count(); ++seed) {
+    random_fault_run(seed, false);
+    random_fault_run(seed, true);
+  }
+}
+
+}  // namespace
+}  // namespace monsoonmux::cell
