Former daemon: a run that a success elsewhere makes needless keeps its capacity until it has ended

Cause: a task's first run was considered lost (its worker was out of reach for its lease) and the task ran again on another worker. Then the first worker reported the first run's success. The task ended at once, which released the second run's capacity; the stop command for it was sent once, was lost, and other tasks were placed beside it.

Now the task ends when its present run no longer holds its worker; stops are repeated until then, and the success is acknowledged to its worker only then, so the next placer hears of it again.

Evidence: the new test loses the stop command.

Not mended: the run of a task that is terminal in the log, which a new placer only stops, is in no allocation either.

--- a/src/control/domain_placer.h
+++ b/src/control/domain_placer.h
@@ -125,12 +125,14 @@
              instant now);
   void schedule_retry(job_entry& job, const task_id& id, task_entry& task, millis delay,
                       instant now);
+  void use_earlier_success(const task_id& id, task_entry& task);
   void end_task(job_entry& job, const task_id& id, task_entry& task, task_phase phase);
   void handle_lost_run(job_entry& job, const task_id& id, task_entry& task, instant now);
   void requeue_all(job_entry& job);
   void stop_gang(job_entry& job, instant now);
   void stop_unwanted(const worker_id& worker, const task_run& run, instant now);
   void acknowledge(const worker_id& worker, const task_run& run);
+  void supersede(const worker_id& worker, const task_report& report, task_entry& task, instant now);
   int counted_failures(const task_entry& task) const;
   std::vector<task_id> tasks_on(worker_index worker) const;
   void check_unresponsive(instant now);
--- a/src/control/placer_ends.cc
+++ b/src/control/placer_ends.cc
@@ -40,6 +40,10 @@
 
 void domain_placer::schedule_retry(job_entry& job, const task_id& id, task_entry& task,
                                    millis delay, instant now) {
+  if (task.succeeded_before) {
+    this->end_task(job, id, task, task_phase::succeeded);
+    return;
+  }
   this->schedule->finish(id);
   ++task.attempt;
   task.stage = task_stage::waiting;
@@ -55,6 +59,10 @@
   if (task.stage == task_stage::queued) {
     this->requeue_all(job);
   }
+  if (task.succeeded_before) {
+    this->use_earlier_success(id, task);
+    phase = task_phase::succeeded;
+  }
   this->schedule->finish(id);
   task.stage = task_stage::ended;
   this->record_state(id, task, phase);
@@ -64,6 +72,14 @@
                             {"phase", std::string(to_string(phase))}});
 }
 
+void domain_placer::use_earlier_success(const task_id& id, task_entry& task) {
+  const earlier_success& earlier = *task.succeeded_before;
+  task.worker = earlier.worker;
+  task.attempt = earlier.attempt;
+  task.started_ms = earlier.started_ms;
+  this->acks.push_back({earlier.worker, run_of(id, task)});
+}
+
 // Removes all of the job's units from the scheduler's queue. They are formed again
 // from the remaining tasks.
 void domain_placer::requeue_all(job_entry& job) {
--- a/src/control/placer_reports.cc
+++ b/src/control/placer_reports.cc
@@ -180,7 +180,8 @@
     return;
   }
   if (task.holds_worker() && (task.worker != worker || task.attempt != report.attempt)) {
-    this->send_stop(task.worker, run_of(report.task, task), false, now);
+    this->supersede(worker, report, task, now);
+    return;
   }
   task.worker = worker;
   task.attempt = report.attempt;
@@ -191,6 +192,17 @@
   this->end_task(job, report.task, task, task_phase::succeeded);
 }
 
+// Stops the present run of a task that has succeeded elsewhere. The present run keeps its
+// worker's capacity until it is over.
+void domain_placer::supersede(const worker_id& worker, const task_report& report, task_entry& task,
+                              instant now) {
+  if (!task.succeeded_before) {
+    task.succeeded_before =
+        earlier_success{worker, report.attempt, this->time.wall_ms() - report.age.value};
+  }
+  this->stop({report.task, task.worker, stop_reason::superseded}, now);
+}
+
 int domain_placer::counted_failures(const task_entry& task) const {
   return static_cast<int>(
       std::count_if(task.failed_on.begin(), task.failed_on.end(),
--- a/src/control/task_table.h
+++ b/src/control/task_table.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -22,6 +23,13 @@
   ended,     // Terminal.
 };
 
+// A run of a task that was considered lost, and has succeeded after all.
+struct earlier_success {
+  worker_id worker;
+  std::int32_t attempt = 0;
+  std::int64_t started_ms = 0;  // Unix time.
+};
+
 struct task_entry {
   task_stage stage = task_stage::waiting;
   std::int32_t attempt = 1;
@@ -35,6 +43,8 @@
   std::int32_t service_failures = 0;  // Of a service, for its restart backoff.
   bool may_have_run = false;          // The log has a run that no worker reported yet.
   std::set<worker_id> failed_on;
+  // The task ends as this run did, as soon as the present run no longer holds its worker.
+  std::optional<earlier_success> succeeded_before;
 
   bool holds_worker() const {
     return this->stage == task_stage::starting || this->stage == task_stage::running ||
--- a/src/control/testing/fake_worker.h
+++ b/src/control/testing/fake_worker.h
@@ -27,6 +27,7 @@
   const worker_host host;
   bool up = true;
   bool fails_all = false;
+  bool loses_stops = false;        // Stop commands are lost on their way.
   bool enforces_deadlines = true;  // False only to verify that the checks can fail.
 
   placement_lease_answer acquire(const placement_lease_request& r) {
@@ -93,6 +94,9 @@
 
   result<void> stop(const stop_request& r) {
     this->expire();
+    if (this->loses_stops) {
+      return may_have_run(error_code::connection_lost, "request lost");
+    }
     const auto it = this->tasks.find(r.run);
     if (it != this->tasks.end() && it->second.phase == report_phase::running) {
       this->end(it->first, it->second, report_phase::stopped);
--- a/src/control/testing/placer_cell_test.cc
+++ b/src/control/testing/placer_cell_test.cc
@@ -171,6 +171,44 @@
   CHECK(violations_in(cell) == "");
 }
 
+// The worker and time of each start, in order.
+std::vector<history_event> starts_in(const fake_cell& cell) {
+  std::vector<history_event> out;
+  std::copy_if(cell.recorded.begin(), cell.recorded.end(), std::back_inserter(out),
+               [](const history_event& e) { return e.kind == history_kind::task_started; });
+  return out;
+}
+
+void await_starts(fake_cell& cell, std::size_t count) {
+  const instant latest = cell.world.time.now() + millis{30'000};
+  while (starts_in(cell).size() < count && cell.world.time.now() < latest) {
+    cell.run({100});
+  }
+  REQUIRE(starts_in(cell).size() == count);
+}
+
+TEST_CASE("a repeated run keeps its capacity until it has ended, though an earlier one succeeded") {
+  fake_cell::layout one_task_each;
+  one_task_each.domains = 1;
+  one_task_each.daemons_per_domain = 1;
+  one_task_each.worker_size = {{1'000}, {512}, {0}};
+  fake_cell cell(1, one_task_each);
+  cell.run({8'000});
+  cell.submit(batch("other", 1, 100'000), all_in(cell.domain(0), 1));
+  await_starts(cell, 1);
+  cell.submit(batch("j0", 1, 6'000), all_in(cell.domain(0), 1));
+  await_starts(cell, 2);
+  cell.world.disconnect("m0", starts_in(cell)[1].subject);
+  await_starts(cell, 3);
+  cell.workers.at(worker_id(starts_in(cell)[2].subject))->loses_stops = true;
+  cell.submit(batch("j1", 1, 20'000), all_in(cell.domain(0), 1));
+  cell.submit(batch("j2", 1, 20'000), all_in(cell.domain(0), 1));
+  cell.heal();
+  cell.run({120'000});
+  CHECK(starts_in(cell).size() == 5);
+  CHECK(violations_in(cell) == "");
+}
+
 TEST_CASE("the cell violates no guarantee under random failures") {
   for (unsigned seed = 0; seed < random_seeds; ++seed) {
     INFO("seed " << seed);
