Random tests play the same on every machine

Two random numbers in one call's arguments are drawn in an order that the compiler chooses: left to right on arm64, right to left on x86-64. So a seed named another run on each, and seed 467 of control_test was red on one only. Drawn one statement at a time now, in the order of arm64. control_test (2,421 assertions), place_test and decide_test pass; checks and numbers of seeds are the same.

--- a/src/control/testing/placer_cell_test.cc
+++ b/src/control/testing/placer_cell_test.cc
@@ -52,7 +52,9 @@
     const int d = cell.world.pick(2);
     const int tasks = 1 + cell.world.pick(4);
     const std::string name = "j" + std::to_string(round) + "-" + std::to_string(n);
-    job_spec spec = batch(name, tasks, 500 + cell.world.pick(8'000), cell.world.pick(2));
+    const int run_ms = 500 + cell.world.pick(8'000);
+    const int team = cell.world.pick(2);
+    job_spec spec = batch(name, tasks, run_ms, team);
     spec.kind = cell.world.chance(30) ? work_kind::gang : work_kind::batch;
     spec.priority = cell.world.chance(20) ? urgency::urgent : urgency::normal;
     cell.submit(spec, all_in(cell.domain(d), tasks));
--- a/src/decide/testing/placer_test.cc
+++ b/src/decide/testing/placer_test.cc
@@ -289,9 +289,9 @@
           "rack" + std::to_string(r % 2));
     }
     for (int j = 0; j < 12; ++j) {
+      const auto tasks = 1 + static_cast<std::int32_t>(pick(6));
       step_spec step = cell_builder::step(
-          1 + static_cast<std::int32_t>(pick(6)),
-          {millicores{1 + pick(3'000)}, mebibytes{1 + pick(500)}, devices{pick(4)}});
+          tasks, {millicores{1 + pick(3'000)}, mebibytes{1 + pick(500)}, devices{pick(4)}});
       step.gang = pick(3) == 0;
       step.best_effort = pick(4) == 0;
       step.same_rack = pick(4) == 0;
--- a/src/place/testing/scheduler_random_test.cc
+++ b/src/place/testing/scheduler_random_test.cc
@@ -83,7 +83,8 @@
     } else if (kind < 8) {
       this->finish_some();
     } else if (kind == 8) {
-      this->s.set_usable(worker_id("w" + std::to_string(this->pick(workers))), this->pick(2) == 0);
+      const worker_id worker("w" + std::to_string(this->pick(workers)));
+      this->s.set_usable(worker, this->pick(2) == 0);
     } else if (!this->jobs.empty()) {
       this->s.cancel(
           this->jobs[static_cast<std::size_t>(this->pick(static_cast<int>(this->jobs.size())))],
@@ -99,7 +100,8 @@
       o.kind = static_cast<work_kind>(this->pick(3));
       o.tasks = o.kind == work_kind::gang ? 1 + this->pick(4) : 1;
       o.priority = this->pick(4) == 0 ? urgency::urgent : urgency::normal;
-      o.per_task = cores(1 + this->pick(5), this->pick(2));
+      const int cpu = 1 + this->pick(5);
+      o.per_task = cores(cpu, this->pick(2));
       o.declared = millis{1'000 + this->pick(60'000)};
       o.since = this->now;
       this->jobs.emplace_back(o.job);
