A successor's bound on earlier commands is when it read the newest claim

A successor starts the tasks of a runner that it cannot reach after the previous leader's command window and a lease. It reckoned that window from last_alive(), which says when the leader was probably last alive, so that a dead leader is succeeded soon. A renewal that is read late, after heartbeats have ceased, sets that estimate back to the last heartbeat, since an old renewal shows no life. But the renewal was sent after that heartbeat, and the leader may send commands for 3.5 s from then on.

Fix: newest_claim_read, apart from the estimates. The claim is appended on the condition that nothing followed the newest record that was read, and whoever wrote that record sent it before it was read; so no leader has a renewal that counts from a later time. Own stored renewals count as read when their answer arrives. An own claim that is found in the log takes the same bound, that is, the time of finding it, as before.

When to claim is unchanged: it still follows the estimate.

--- a/src/cell/leadership.cc
+++ b/src/cell/leadership.cc
@@ -42,6 +42,7 @@
 
 void leadership::start() {
   this->last_seen_in_log = this->time.now();
+  this->newest_claim_read = this->time.now();
   this->follower.start();
   this->tick();
 }
@@ -66,6 +67,7 @@
   const bool is_new_leader = !this->claim || this->claim->leader_epoch < received->leader_epoch;
   const bool fresh = is_new_leader || this->reads_throttled || this->fresh_after.has_value();
   this->claim = received;
+  this->newest_claim_read = this->time.now();
   this->last_seen_in_log =
       fresh ? this->time.now() : std::max(this->last_seen_in_log, this->last_heartbeat);
   const bool is_own = received->nonce == this->nonce;
@@ -73,7 +75,7 @@
     // The claim was stored, but the answer to its append was lost.
     this->is_leader = true;
     this->renewed = this->renewal_sent;
-    this->previous_until = this->time.now() + this->options.command_window;
+    this->previous_until = this->earlier_commands_until();
     this->on.on_gained(received->leader_epoch);
   } else if (!is_own && this->is_leader) {
     this->lose("leadership claimed by " + received->leader.text);
@@ -187,7 +189,7 @@
   next.peer_address = this->options.peer_address;
   next.peer_port = this->options.peer_port;
   this->renewal_sent = this->time.now();
-  const instant previous = this->last_alive() + this->options.command_window;
+  const instant previous = this->earlier_commands_until();
   this->append_claim(
       next, [this, next, previous, sent = this->renewal_sent](const append_answer& answer) {
         if (answer.status != append_status::done || this->is_leader) {
@@ -197,8 +199,8 @@
         this->end = std::max(this->end, answer.end);
         this->is_leader = true;
         this->renewed = sent;
-        // The conditional append succeeded, so no renewal followed the last claim that was
-        // read.
+        // The conditional append succeeded, so no renewal followed the last claim that had
+        // been read when it was sent.
         this->previous_until = previous;
         this->on.on_gained(next.leader_epoch);
       });
@@ -215,6 +217,9 @@
                    [this, on_answer = std::move(on_answer), a = this->alive](append_answer answer) {
                      if (*a) {
                        this->in_flight = false;
+                       if (answer.status == append_status::done) {
+                         this->newest_claim_read = this->time.now();
+                       }
                        on_answer(answer);
                      }
                    });
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -98,6 +98,11 @@
   millis claim_delay() const;
   void throttle_reads();
   instant last_alive() const;
+  // The end of the commands of all previous leaders, if the next claim is stored where the
+  // newest one that was read ends.
+  instant earlier_commands_until() const {
+    return this->newest_claim_read + this->options.command_window;
+  }
 
   shared_log& log;
   const clock& time;
@@ -112,6 +117,9 @@
   std::function<void()> on_successor;  // Called when a resignation is complete.
   instant last_seen_in_log{0};         // When the topic last showed the leader alive.
   instant last_heartbeat{0};           // When its last heartbeat was received.
+  // When the newest claim or renewal was read, or stored by this daemon. It was sent no
+  // later than that, so unlike the two above this is a bound and no estimate.
+  instant newest_claim_read{0};
   instant previous_until{0};
   instant renewed{0};
   instant renewal_sent{0};
