Ends of a restarted runner are not acknowledged by its former numbers

The three guards of the session (a failed poll, a clock that goes back, a runner that was idle) do not see a restart between the last report and the poll. Suspected first was a report that is handled late.

Mend: runner_clock bounds from below when the incarnation was last known to run, by the readings of its clock: between two readings passes at least as much real time as their difference, so an answer's age is known however late it is handled; and a reading higher than the time since the last proof cannot come from a later incarnation, so answers to starts and stops are proofs too. A poll acknowledges ends only if that proof is young: - up to 250 ms (shortest_restart): it acknowledges and waits, one poll for each end as before; - up to 600 ms (shortest_restart_and_run): it acknowledges and does not wait; - older: a poll that does neither comes first. A number is sent until the runner has answered it, not with each poll any more. After an idle time the answer to the start is the proof, which saves the poll that came first until now.

What remains assumed, by the two constants: from its last answer until it carries out commands again a runner needs 250 ms, until a run has ended there 600 ms, both less the way of the poll. A poll that is still on its way after that (through agents up to 0.8 s and the link) can meet the next incarnation.

runner_session_test: the fake runner's clock runs now (it stood at 1,000 ms for ever), and acked() answers up to three polls that acknowledge nothing before it looks at the number. What is checked is the same.

--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -10,8 +10,14 @@
 
 // Allows for a command that the runner was executing when the end of its lease passed.
 constexpr millis expiry_margin{300};
-// Answers arrive out of order by less than this.
-constexpr millis reorder_tolerance{1'000};
+// Assumption: a runner that restarts needs at least this long from its last answer until it
+// executes commands again. The ends of a restarted runner are numbered from the beginning,
+// so it must not receive an acknowledgement meant for its previous incarnation.
+constexpr millis shortest_restart{250};
+// Assumption: a runner that restarts needs at least this long from its last answer until a
+// run has ended there. An acknowledgement that reaches it earlier does no harm, unless it
+// waits there for an end.
+constexpr millis shortest_restart_and_run{600};
 // A lease is renewed at the latest this long after the last poll.
 constexpr millis renew_after{1'500};
 
@@ -72,8 +78,8 @@
       this->entry.incarnation != 0 && next.incarnation != this->entry.incarnation;
   this->entry = next;
   this->listed = true;
-  if (this->clock_at == instant{0} || restarted) {
-    this->update_clock(next.clock_ms);
+  if (this->incarnation == 0 || restarted) {
+    this->runner_time.assume(next.clock_ms, this->time.now());
   }
   if (restarted && next.incarnation != this->incarnation) {
     this->admitted = false;
@@ -88,32 +94,21 @@
   tracked.recovered = true;
 }
 
-// A lower bound of the present time on the runner's clock.
-std::int64_t runner_session::min_clock() const {
-  const millis since = this->time.now() - this->clock_at;
-  return this->clock_ms + shortest_runner_time(since).value;
-}
-
 std::int64_t runner_session::lease_until() const {
-  return this->min_clock() + this->options.max_lease.value;
+  return this->runner_time.at_least(this->time.now()) + this->options.max_lease.value;
 }
 
-void runner_session::update_clock(std::int64_t clock) {
-  this->clock_ms = clock;
-  this->clock_at = this->time.now();
-}
-
-void runner_session::update_clock(const command_answer& answer) {
+void runner_session::update_clock(const command_answer& answer, instant sent) {
   if (!answer.clock_ms) {
     return;
   }
-  if (this->admitted && *answer.clock_ms < this->min_clock() - reorder_tolerance.value) {
-    this->incarnation_uncertain = true;  // A clock does not go back within one incarnation.
+  const clock_reading reading{*answer.clock_ms, sent, this->time.now()};
+  if (this->runner_time.compare(reading) == same_incarnation::no && this->admitted) {
+    this->incarnation_uncertain = true;
   }
-  this->update_clock(*answer.clock_ms);
 }
 
-void runner_session::poll() {
+void runner_session::poll(bool acknowledge) {
   const bool poll_needed =
       !this->runs.empty() || !this->announced || this->last_end_seen > this->stored_up_to;
   if (this->poll_in_flight || !poll_needed || !this->reachable()) {
@@ -121,16 +116,18 @@
   }
   const instant now = this->time.now();
   const bool has_unstored_ends = this->last_end_seen > this->stored_up_to;
+  const bool renewal_due = now - this->last_poll >= renew_after;
   if (now < this->next_poll ||
-      (has_unstored_ends && this->admitted && now - this->last_poll < renew_after)) {
+      (has_unstored_ends && this->admitted && !renewal_due && !acknowledge)) {
     return;
   }
   poll_request request;
   request.target = this->target();
-  // A restarted runner numbers its ends from the beginning. Acknowledging a number of the
-  // previous incarnation would make it drop ends that were never reported.
-  request.acked_up_to = this->incarnation_uncertain || this->was_idle ? 0 : this->stored_up_to;
-  const bool may_wait = this->admitted && !has_unstored_ends && !this->incarnation_uncertain;
+  const bool may_acknowledge = this->acknowledgement_due() && !this->incarnation_uncertain &&
+                               this->proof_age(now) <= shortest_restart_and_run;
+  request.acked_up_to = may_acknowledge ? this->stored_up_to : 0;
+  const bool may_wait = this->admitted && !has_unstored_ends && !this->incarnation_uncertain &&
+                        (!this->acknowledgement_due() || this->proof_age(now) <= shortest_restart);
   request.wait = may_wait && !this->runs.empty() ? this->options.poll_wait : millis{0};
   if (this->admitted && !this->incarnation_uncertain) {
     request.lease_until_ms = this->lease_until();
@@ -139,19 +136,25 @@
   }
   this->poll_in_flight = true;
   this->last_poll = now;
-  this->port.poll(request, [this, now, a = this->alive](const poll_answer& answer) {
+  this->port.poll(request, [this, request, now, a = this->alive](const poll_answer& answer) {
     if (*a) {
       this->poll_in_flight = false;
-      this->poll_answered(answer, now);
+      this->poll_answered(answer, request, now);
     }
   });
 }
 
-void runner_session::poll_answered(const poll_answer& answer, instant sent) {
+void runner_session::poll_answered(const poll_answer& answer, const poll_request& request,
+                                   instant sent) {
   if (answer.status == command_status::done) {
     this->failed_polls = 0;
-    this->handle_report(answer.report, sent);
-    this->poll();
+    this->handle_report(answer.report, request, sent);
+    const instant now = this->time.now();
+    const bool due = this->acknowledgement_due();
+    if (due && this->proof_age(now) > shortest_restart_and_run) {
+      this->next_poll = now + this->options.retry;  // The answer took too long to arrive.
+    }
+    this->poll(due && request.acked_up_to == 0);
     return;
   }
   if (answer.status == command_status::fenced) {
@@ -172,15 +175,19 @@
                     (this->failed_polls > 2 ? this->options.probe_interval : this->options.retry);
 }
 
-void runner_session::handle_report(const poll_report& report, instant sent) {
-  this->update_clock(report.clock_ms);
+void runner_session::handle_report(const poll_report& report, const poll_request& request,
+                                   instant sent) {
+  const clock_reading reading{report.clock_ms, sent, this->time.now()};
   if (this->incarnation != 0 && report.incarnation != this->incarnation) {
-    this->note_restart(report.incarnation);
+    this->note_restart(report, request, sent);
+    this->runner_time.begin(reading);
+  } else {
+    this->runner_time.confirm(reading);
+    this->acknowledged_up_to = std::max(this->acknowledged_up_to, request.acked_up_to);
   }
   this->incarnation = report.incarnation;
   this->admitted = true;
   this->incarnation_uncertain = false;
-  this->was_idle = false;
   if (!this->announced) {
     this->announced = true;
     this->leader.runner_admitted(this->id, report.incarnation);
@@ -193,10 +200,16 @@
 // All runs of the previous incarnation are over, but a start command may already have
 // reached the new one. The runs that the current report lists are kept, and
 // close_missing() closes the others.
-void runner_session::note_restart(std::int64_t now_incarnation) {
-  this->events.write("runner_reborn", {{"runner", this->id}, {"born", now_incarnation}});
+void runner_session::note_restart(const poll_report& report, const poll_request& request,
+                                  instant sent) {
+  this->events.write("runner_reborn", {{"runner", this->id},
+                                       {"born", report.incarnation},
+                                       {"previous", this->incarnation},
+                                       {"acknowledged", request.acked_up_to},
+                                       {"poll_ms", (this->time.now() - sent).value}});
   this->last_end_seen = 0;
   this->stored_up_to = 0;
+  this->acknowledged_up_to = 0;
   this->unstored_ends.clear();
   this->announced = false;
 }
@@ -275,7 +288,6 @@
 
 void runner_session::start(const run_key& run, std::string payload, std::string ticket,
                            std::string checkpoint) {
-  this->was_idle = this->was_idle || this->runs.empty();
   tracked_run& tracked = this->runs[run];
   tracked.command.task = run.task.text();
   tracked.command.run = run.run;
@@ -291,17 +303,20 @@
   tracked.next_try = never;
   tracked.command.target = this->target();
   tracked.command.lease_until_ms = this->lease_until();
+  const instant now = this->time.now();
   this->leases_expire_at =
-      std::max(this->leases_expire_at, this->time.now() + expiry_time(this->options.max_lease));
-  this->port.start(tracked.command, [this, run, a = this->alive](const command_answer& answer) {
-    if (*a) {
-      this->start_answered(run, answer);
-    }
-  });
+      std::max(this->leases_expire_at, now + expiry_time(this->options.max_lease));
+  this->port.start(tracked.command,
+                   [this, run, now, a = this->alive](const command_answer& answer) {
+                     if (*a) {
+                       this->start_answered(run, answer, now);
+                     }
+                   });
 }
 
-void runner_session::start_answered(const run_key& run, const command_answer& answer) {
-  this->update_clock(answer);
+void runner_session::start_answered(const run_key& run, const command_answer& answer,
+                                    instant sent) {
+  this->update_clock(answer, sent);
   const auto it = this->runs.find(run);
   if (it == this->runs.end()) {
     return;
@@ -369,11 +384,12 @@
   tracked.stop_in_flight = true;
   tracked.next_try = never;
   const stop_command command{this->target(), run.task.text(), run.run};
-  this->port.stop(command, [this, run, a = this->alive](const command_answer& answer) {
+  const instant sent = this->time.now();
+  this->port.stop(command, [this, run, sent, a = this->alive](const command_answer& answer) {
     if (!*a) {
       return;
     }
-    this->update_clock(answer);
+    this->update_clock(answer, sent);
     const auto it = this->runs.find(run);
     if (it == this->runs.end()) {
       return;
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -8,6 +8,7 @@
 
 #include "async/event_log.h"
 #include "base/clock.h"
+#include "cell/runner_clock.h"
 #include "cell/runner_port.h"
 #include "cell/timer.h"
 #include "decide/runner_table.h"
@@ -84,22 +85,24 @@
     start_command command;
   };
 
-  void poll();
-  void poll_answered(const poll_answer& answer, instant sent);
-  void handle_report(const poll_report& report, instant sent);
-  void note_restart(std::int64_t incarnation);
+  // `acknowledge`: also soon after the last poll, although ends are not in the log yet.
+  void poll(bool acknowledge = false);
+  void poll_answered(const poll_answer& answer, const poll_request& request, instant sent);
+  // True if the runner may still list ends that are in the log.
+  bool acknowledgement_due() const { return this->stored_up_to > this->acknowledged_up_to; }
+  millis proof_age(instant now) const { return now - this->runner_time.alive_at(); }
+  void handle_report(const poll_report& report, const poll_request& request, instant sent);
+  void note_restart(const poll_report& report, const poll_request& request, instant sent);
   void process_ends(const poll_report& report);
   void process_running(const poll_report& report);
   static bool lists(const poll_report& report, const run_key& run);
   void close_missing(const poll_report& report, instant sent);
   void send_start(const run_key& run);
-  void start_answered(const run_key& run, const command_answer& answer);
+  void start_answered(const run_key& run, const command_answer& answer, instant sent);
   void start_refused(const run_key& run, tracked_run& tracked, std::string_view why);
   void send_stop(const run_key& run);
   void close_expired();
-  void update_clock(const command_answer& answer);
-  void update_clock(std::int64_t clock_ms);
-  std::int64_t min_clock() const;
+  void update_clock(const command_answer& answer, instant sent);
   std::int64_t lease_until() const;
   command_target target() const;
   bool reachable() const { return !this->entry.address.empty(); }
@@ -119,17 +122,15 @@
   // its clock indicates a restart. Until its next report, polls neither renew its lease
   // nor acknowledge ends.
   bool incarnation_uncertain = false;
-  // The runner had no runs and so was not polled, and may have restarted unnoticed. The
-  // first poll after that acknowledges no ends.
-  bool was_idle = false;
   std::int64_t incarnation = 0;
-  std::int64_t clock_ms = 0;
-  instant clock_at{0};
+  runner_clock runner_time;
   instant leases_expire_at;
   std::int64_t last_end_seen = 0;
   // Ends up to this number are in the log, so they can be acknowledged to the runner,
   // which may then forget them.
   std::int64_t stored_up_to = 0;
+  // Ends up to this number were acknowledged by a poll that this incarnation answered.
+  std::int64_t acknowledged_up_to = 0;
   std::set<std::int64_t> unstored_ends;  // Reported ends that are not in the log yet.
   bool poll_in_flight = false;
   instant next_poll{0};
--- a/src/cell/testing/runner_session_test.cc
+++ b/src/cell/testing/runner_session_test.cc
@@ -14,25 +14,24 @@
 // Records polls; the test answers them.
 class recorded_commands final : public runner_port {
  public:
-  void start(const start_command&, std::function<void(command_answer)>) override {}
+  void start(const start_command& command, std::function<void(command_answer)> on_answer) override {
+    this->starts.push_back(command);
+    this->start_answers.push_back(std::move(on_answer));
+  }
   void stop(const stop_command&, std::function<void(command_answer)>) override {}
   void poll(const poll_request& request, std::function<void(poll_answer)> on_answer) override {
     this->polls.push_back(request);
     this->answers.push_back(std::move(on_answer));
   }
-  void report(std::vector<finished_run> ends, std::int64_t incarnation = 7) {
-    poll_answer out;
-    out.status = command_status::done;
-    out.report.incarnation = incarnation;
-    out.report.clock_ms = 1'000;
-    out.report.finished = std::move(ends);
-    out.report.running.push_back({long_task, 1, "", 100});
+  void report(const poll_report& given) {
     const auto answer = std::move(this->answers.back());
     this->answers.clear();
-    answer(out);
+    answer({command_status::done, given});
   }
   std::vector<poll_request> polls;
   std::vector<std::function<void(poll_answer)>> answers;
+  std::vector<start_command> starts;
+  std::vector<std::function<void(command_answer)>> start_answers;
 };
 
 class ignored_events final : public session_events {
@@ -47,8 +46,15 @@
   void token_refused(const std::string&) override {}
 };
 
+constexpr std::int64_t first_incarnation = 7;
+constexpr std::int64_t next_incarnation = 8;
+constexpr millis uptime{100'000};
+
 struct session_fixture {
   fake_loop loop;
+  instant born = loop.now() - uptime;
+  std::int64_t incarnation = first_incarnation;
+  std::vector<finished_run> listed;  // The ends that the runner lists.
   event_log events{fake_cell::log_descriptor(), loop, "test"};
   recorded_commands commands;
   ignored_events leader;
@@ -58,17 +64,41 @@
     runner_entry entry;
     entry.id = "i-1";
     entry.address = "a:1";
-    entry.incarnation = 7;
+    entry.incarnation = first_incarnation;
     this->session.recover({*parse_task_ref(long_task), 1});
     this->session.update(entry);
   }
-  // The number up to which the next poll acknowledges ends.
+  std::int64_t clock() const { return (this->loop.now() - this->born).value; }
+  void restart_runner() {
+    this->born = this->loop.now();
+    this->incarnation = next_incarnation;
+    this->listed.clear();
+  }
+  // What the runner answers to a poll now.
+  poll_report state() const {
+    return {this->incarnation, this->clock(), {{long_task, 1, "", 100}}, this->listed};
+  }
+  void report(std::vector<finished_run> ends) {
+    this->listed = std::move(ends);
+    this->commands.report(this->state());
+  }
+  // The number up to which ends are acknowledged after a while. Polls that acknowledge nothing
+  // may come first.
   std::int64_t acked() {
     constexpr millis long_enough{2'000};
     this->loop.run_for(long_enough);
     this->session.tick();
-    return this->commands.polls.back().acked_up_to;
+    constexpr int most_polls = 3;
+    for (int i = 0; i < most_polls && this->last_poll().acked_up_to == 0; ++i) {
+      if (!this->commands.answers.empty()) {
+        this->commands.report(this->state());
+      }
+      this->loop.run_for(session_options{}.retry);
+      this->session.tick();
+    }
+    return this->last_poll().acked_up_to;
   }
+  const poll_request& last_poll() const { return this->commands.polls.back(); }
 };
 
 finished_run end_of(std::int64_t number) {
@@ -77,14 +107,16 @@
 
 TEST_CASE("An end is acknowledged only when it and all ends before it are stored") {
   session_fixture f;
-  f.commands.report({end_of(4), end_of(5), end_of(6)});
+  f.report({end_of(4), end_of(5), end_of(6)});
   // End 6 is stored first: its job was settled before, so nothing had to be written.
   f.session.end_stored(6);
   CHECK(f.acked() < 4);
-  f.commands.report({end_of(4), end_of(5), end_of(6)});
+  f.loop.run_for(millis{2'000});
+  f.session.tick();
+  f.report({end_of(4), end_of(5), end_of(6)});
   f.session.end_stored(4);
   CHECK(f.acked() == 4);
-  f.commands.report({end_of(5), end_of(6), end_of(9)});
+  f.report({end_of(5), end_of(6), end_of(9)});
   f.session.end_stored(5);
   CHECK(f.acked() >= 6);
   CHECK(f.acked() < 9);
@@ -92,17 +124,126 @@
 
 TEST_CASE("Ends of a restarted runner are acknowledged from the beginning") {
   session_fixture f;
-  f.commands.report({end_of(4), end_of(5)});
+  f.report({end_of(4), end_of(5)});
   f.session.end_stored(5);
   (void)f.acked();
-  constexpr std::int64_t next_incarnation = 8;
-  f.commands.report({end_of(1)}, next_incarnation);
+  f.restart_runner();
+  f.loop.run_for(millis{2'000});
+  f.session.tick();
+  f.report({end_of(1)});
   f.session.end_stored(4);  // Reported by the previous incarnation.
   CHECK(f.acked() == 0);
-  f.commands.report({end_of(1)}, next_incarnation);
+  f.loop.run_for(millis{2'000});
+  f.session.tick();
+  f.report({end_of(1)});
   f.session.end_stored(1);
   CHECK(f.acked() == 1);
 }
 
+TEST_CASE("A report that is handled late leads to no acknowledgement to a restarted runner") {
+  session_fixture f;
+  f.report({end_of(1)});
+  f.session.end_stored(1);
+  f.loop.run_for(millis{300});
+  f.listed = {end_of(2)};
+  const poll_report late = f.state();
+  f.loop.run_for(millis{1'000});
+  f.restart_runner();
+  f.loop.run_for(millis{3'000});
+  f.commands.report(late);
+  CHECK(f.last_poll().acked_up_to == 0);
+  f.session.end_stored(2);
+  CHECK(f.acked() == 0);
+}
+
+TEST_CASE("Ends that are stored late lead to no acknowledgement to a restarted runner") {
+  session_fixture f;
+  f.report({end_of(1), end_of(2)});
+  f.loop.run_for(millis{1'000});
+  f.restart_runner();
+  f.loop.run_for(millis{300});
+  f.session.end_stored(1);
+  f.session.end_stored(2);
+  CHECK(f.acked() == 0);
+}
+
+TEST_CASE("An end costs one poll, which acknowledges it and waits for the next") {
+  session_fixture f;
+  f.report({});
+  const std::size_t before = f.commands.polls.size();
+  for (std::int64_t number = 1; number <= 5; ++number) {
+    f.loop.run_for(millis{900});
+    f.report({end_of(number)});
+    f.loop.run_for(millis{15});
+    f.session.end_stored(number);
+    CHECK(f.last_poll().acked_up_to == number);
+    CHECK(f.last_poll().wait == session_options{}.poll_wait);
+  }
+  CHECK(f.commands.polls.size() == before + 5);
+}
+
+TEST_CASE("After a gap, an end costs one more poll") {
+  session_fixture f;
+  f.report({end_of(1)});
+  f.loop.run_for(millis{1'200});
+  const std::size_t before = f.commands.polls.size();
+  f.session.end_stored(1);
+  CHECK(f.last_poll().acked_up_to == 0);
+  CHECK(f.last_poll().wait == millis{0});
+  f.loop.run_for(millis{2});
+  f.report({end_of(1)});
+  CHECK(f.last_poll().acked_up_to == 1);
+  CHECK(f.last_poll().wait == session_options{}.poll_wait);
+  CHECK(f.commands.polls.size() == before + 2);
+}
+
+TEST_CASE("Ends are acknowledged over a slow link too, and polls do not follow at once") {
+  session_fixture f;
+  f.report({end_of(1)});
+  f.loop.run_for(millis{2'000});
+  f.session.end_stored(1);
+  f.listed = {end_of(1)};
+  const poll_report delayed = f.state();
+  f.loop.run_for(millis{400});
+  f.commands.report(delayed);
+  CHECK(f.last_poll().acked_up_to == 1);
+  CHECK(f.last_poll().wait == millis{0});
+  f.loop.run_for(millis{400});
+  f.report({});
+  CHECK(f.last_poll().wait == session_options{}.poll_wait);
+
+  f.loop.run_for(millis{2'000});
+  f.report({end_of(2)});
+  f.loop.run_for(millis{2'000});
+  f.session.end_stored(2);
+  const std::size_t before = f.commands.polls.size();
+  const poll_report slow = f.state();
+  f.loop.run_for(millis{900});
+  f.commands.report(slow);
+  CHECK(f.commands.polls.size() == before);
+}
+
+TEST_CASE("An acknowledgement is not repeated once the runner has answered it") {
+  session_fixture f;
+  f.report({end_of(1)});
+  f.session.end_stored(1);
+  CHECK(f.last_poll().acked_up_to == 1);
+  f.loop.run_for(millis{2'000});
+  f.report({});
+  CHECK(f.last_poll().acked_up_to == 0);
+  CHECK(f.last_poll().wait == session_options{}.poll_wait);
+}
+
+TEST_CASE("A start's answer proves the incarnation of a runner that was idle") {
+  session_fixture f;
+  f.report({end_of(1), end_of(2)});
+  f.session.end_stored(1);
+  f.loop.run_for(millis{30'000});
+  f.session.start({*parse_task_ref("job.0.0.5"), 1}, "p", "", "");
+  f.loop.run_for(millis{2});
+  f.commands.start_answers.back()({command_status::done, f.clock()});
+  CHECK(f.last_poll().acked_up_to == 1);
+}
+
 }  // namespace
 }  // namespace monsoonmux::cell
