Tests: under faults, each start is checked for capacity, AntiAffinity, label and pool

For every start of every cell test it now checks, by the jobs as they were submitted: the capacity of the runner (what is being stopped counts until its end is listed), AntiAffinity of the step on that runner, the required label, the pool of the queue, and that somebody submitted the task.

The random cells submit jobs that can break these: AntiAffinity of 1, a label that some runners have, a second pool, tasks of two cores; and a third of the runners take 12 s for a task, longer than a lease. Five runners instead of four: three in the first pool, two in the second.

--- a/src/cell/testing/fake_cell.h
+++ b/src/cell/testing/fake_cell.h
@@ -174,6 +174,20 @@
     this->config.teams.push_back(team);
   }
 
+  // Adds a queue for a second pool, which consists of the runners from this index on. Call
+  // before the daemons have read the configuration.
+  void add_second_pool(std::size_t first_runner) {
+    queue_config queue = this->config.queues.front();
+    queue.name = queue_id("second");
+    queue.path_prefix = second_path;
+    queue.pool = pool_id("second");
+    this->config.queues.push_back(queue);
+    this->config.pools.push_back({queue.pool, false, false});
+    for (std::size_t i = first_runner; i < this->runners.size(); ++i) {
+      this->runners[i]->entry.pool = queue.pool;
+    }
+  }
+
   // Submits a job of the limited team.
   void submit_limited(int daemon, const std::string& id, const job_spec& spec) {
     this->submit(daemon, id, spec, "/limited/", team_key);
@@ -191,6 +205,7 @@
       return;
     }
     constexpr millis deadline{1'000};
+    this->history.jobs[id] = {spec, from.value().queue->pool};
     at.daemon->handler().submit(from.value(), job_id(id), spec, this->loop.now() + deadline,
                                 [this, id](const result<void>& answer) {
                                   if (answer.has_value()) {
@@ -267,6 +282,7 @@
   static int log_descriptor() {
     return std::getenv("MONSOONMUX_ONLY_SEED") != nullptr ? 1 : ::open("/dev/null", O_WRONLY);
   }
+  static constexpr const char* second_path = "/second/";
   static constexpr const char* team_key = "key of t";
   static constexpr millicores team_limit{3'000};  // Of the limited team.
   static constexpr resources runner_size{millicores{4'000}, mebibytes{4'000}, devices{0}};
--- a/src/cell/testing/fake_runners.h
+++ b/src/cell/testing/fake_runners.h
@@ -41,6 +41,8 @@
   double late_commands = 0;           // Fraction of commands executed seconds later, unanswered.
   double clock_rate = 1.0;            // 0.98: 2% slow.
   millis task_time{800};
+  // The same for members of a gang, which end together wherever they run.
+  std::optional<millis> gang_time;
   double failure_rate = 0;  // Fraction of runs that end as failed.
 
   std::int64_t clock() const {
@@ -133,7 +135,7 @@
     this->up = false;
     this->log_event("runner_crashes", "", 0);
     for (const auto& [task, run] : this->runs) {
-      this->history.end(task, run.run, false);
+      this->history.end(this->entry.id, task, run.run, false);
     }
     this->runs.clear();
   }
@@ -172,10 +174,12 @@
 
   void begin(const start_command& command) {
     this->log_event("runner_starts", command.task, command.run);
-    this->history.begin(this->loop.now(), command.task, command.run);
+    this->history.begin(this->loop.now(), this->entry, command.task, command.run);
     run_state run;
     run.run = command.run;
-    run.ends = this->loop.now() + this->task_time;
+    const bool in_gang = this->history.in_gang(command.task);
+    run.ends =
+        this->loop.now() + (in_gang ? this->gang_time.value_or(this->task_time) : this->task_time);
     const bool fails =
         std::uniform_real_distribution<double>(0, 1)(this->random) < this->failure_rate;
     run.how = fails ? run_outcome::failed : run_outcome::done;
@@ -187,7 +191,7 @@
     this->finished.push_back({this->next_end++, task, run.run, how, {}});
     int& highest = this->closed[task];
     highest = std::max(highest, run.run);
-    this->history.end(task, run.run, how == run_outcome::done);
+    this->history.end(this->entry.id, task, run.run, how == run_outcome::done);
   }
 
   // A member of a gang makes no progress alone, and gives up after a while.
--- a/src/cell/testing/random_fault_test.cc
+++ b/src/cell/testing/random_fault_test.cc
@@ -13,17 +13,58 @@
 // Each task needs a core.
 constexpr int tasks_in_limit = static_cast<int>(fake_cell::team_limit.value / 1'000);
 
-// Submits a job of the given number of tasks, or a gang, or a job of the limited team.
+const std::string special_label = "special";
+// The cell's runners: those before this index are of the first pool, and every second one
+// has the special label.
+constexpr std::size_t runners_of_first_pool = 3;
+constexpr int runner_count = 5;
+constexpr millis long_task_time{12'000};
+constexpr millis gang_time{800};
+
+// Submits a job of the given number of tasks, or a gang, or a job of the limited team. Some
+// may run one task of a step on each runner, some only on certain runners or in the
+// second pool.
 void submit_some(fake_cell& cell, int daemon, int number, int tasks) {
-  if (number % 4 == 2) {
-    cell.submit_limited(daemon, limited_prefix + std::to_string(number),
-                        fake_cell::simple_job(tasks));
-  } else if (number % 4 == 3) {
-    job_spec gang = fake_cell::simple_job(gang_size);
-    gang.steps[0].gang = true;
-    cell.submit(daemon, gang_prefix + std::to_string(number), gang);
-  } else {
-    cell.submit(daemon, job_name(number), fake_cell::simple_job(tasks));
+  job_spec spec = fake_cell::simple_job(tasks);
+  switch (number % 8) {
+    case 1:
+      spec.steps[0].anti_affinity = 1;
+      break;
+    case 2:
+    case 6:
+      cell.submit_limited(daemon, limited_prefix + std::to_string(number), spec);
+      return;
+    case 3:
+    case 7:
+      spec.steps[0].count = gang_size;
+      spec.steps[0].gang = true;
+      cell.submit(daemon, gang_prefix + std::to_string(number), spec);
+      return;
+    case 4:
+      spec.steps[0].required_label = special_label;
+      break;
+    case 5:
+      cell.submit(daemon, job_name(number), spec, fake_cell::second_path);
+      return;
+    default:
+      spec.steps[0].need.cpu = millicores{2'000};
+      break;
+  }
+  cell.submit(daemon, job_name(number), spec);
+}
+
+// Gives the runners their pools, their labels and the time that a task takes: on a third of
+// them longer than a lease.
+void vary_runners(fake_cell& cell, std::uint32_t seed) {
+  cell.add_second_pool(runners_of_first_pool);
+  for (std::size_t i = 0; i < cell.runners.size(); ++i) {
+    cell.runners[i]->gang_time = gang_time;
+    if (i % 2 == 0) {
+      cell.runners[i]->entry.labels.push_back(special_label);
+    }
+    if (i % 3 == seed % 3) {
+      cell.runners[i]->task_time = long_task_time;
+    }
   }
 }
 
@@ -33,8 +74,9 @@
 // agents on other daemons.
 void random_fault_run(std::uint32_t seed, bool with_agents) {
   INFO("seed " << seed << (with_agents ? ", through agents" : ""));
-  fake_cell cell(3, 4, seed, with_agents ? through_agents() : daemon_options{});
+  fake_cell cell(3, runner_count, seed, with_agents ? through_agents() : daemon_options{});
   cell.add_limited_team();
+  vary_runners(cell, seed);
   cell.loop.run_for(boot_time);
   auto& random = cell.random;
   cell.history.limits[limited_prefix] = tasks_in_limit;
--- a/src/cell/testing/run_history.h
+++ b/src/cell/testing/run_history.h
@@ -9,9 +9,18 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "decide/task_ref.h"
+#include "model/job_spec.h"
+#include "model/runner_entry.h"
 
 namespace monsoonmux::cell {
 
+// A job as it was submitted, and the pool to which its queue sends it.
+struct submitted_job {
+  job_spec spec;
+  pool_id pool;
+};
+
 // The history of runs on all runners, and the violations of the scheduler's guarantees.
 struct run_history {
   std::vector<std::string> broken;
@@ -27,6 +36,10 @@
   std::map<std::string, int> gangs;
   // Members of a gang that run or are done under one run number, by step and run number.
   std::map<std::pair<std::string, int>, int> present;
+  std::map<std::string, submitted_job> jobs;  // By id.
+  // Tasks on each runner, also those that are being stopped, until the runner lists their
+  // ends.
+  std::map<std::string, std::set<std::string>> on_runner;
 
   static std::string step_of(const std::string& task) {
     return task.substr(0, task.rfind('.') + 1);
@@ -42,8 +55,30 @@
     return false;
   }
 
-  // Records that a run of the task is on a runner now.
-  void begin(instant at, const std::string& task, int run) {
+  // The step of the task as it was submitted; null: nobody submitted such a task.
+  const step_spec* shape_of(const task_ref& task) const {
+    const auto job = this->jobs.find(task.in.job.text);
+    const auto step = static_cast<std::size_t>(task.in.step);
+    if (job == this->jobs.end() || step >= job->second.spec.steps.size()) {
+      return nullptr;
+    }
+    const step_spec& shape = job->second.spec.steps[step];
+    return task.index < shape.count ? &shape : nullptr;
+  }
+  const step_spec* shape_of(const std::string& task) const {
+    const auto parsed = parse_task_ref(task);
+    return parsed ? this->shape_of(*parsed) : nullptr;
+  }
+  // True if the task is a member of a gang.
+  bool in_gang(const std::string& task) const {
+    const step_spec* const shape = this->shape_of(task);
+    return shape != nullptr && shape->gang;
+  }
+
+  // Records that a run of the task is on the runner now.
+  void begin(instant at, const runner_entry& runner, const std::string& task, int run) {
+    this->on_runner[runner.id].insert(task);
+    this->check_place(at, runner, task);
     ++this->present[{step_of(task), run}];
     ++this->starts;
     if (this->done_acked.contains(task)) {
@@ -62,7 +97,8 @@
     }
   }
   // Records that a run has left its runner.
-  void end(const std::string& task, int run, bool done) {
+  void end(const std::string& runner, const std::string& task, int run, bool done) {
+    this->on_runner[runner].erase(task);
     --this->running[task];
     this->present[{step_of(task), run}] -= done ? 0 : 1;
     if (done) {
@@ -79,6 +115,49 @@
     return sum;
   }
 
+  // Checks that the task may run on this runner, beside what is there.
+  void check_place(instant at, const runner_entry& runner, const std::string& task) {
+    const auto parsed = parse_task_ref(task);
+    const step_spec* const shape = parsed ? this->shape_of(*parsed) : nullptr;
+    if (shape == nullptr) {
+      this->fail(at, task + " starts, which nobody submitted");
+      return;
+    }
+    if (this->jobs.at(parsed->in.job.text).pool != runner.pool) {
+      this->fail(at, task + " starts in the wrong pool, on " + runner.id);
+    }
+    const std::string& label = shape->required_label;
+    if (!label.empty() &&
+        std::find(runner.labels.begin(), runner.labels.end(), label) == runner.labels.end()) {
+      this->fail(at, task + " starts without its label, on " + runner.id);
+    }
+    if (shape->anti_affinity > 0 &&
+        this->of_step_on(runner.id, step_of(task)) > shape->anti_affinity) {
+      this->fail(at, task + " starts beyond its anti-affinity, on " + runner.id);
+    }
+    if (!this->used_on(runner.id).fits(runner.capacity)) {
+      this->fail(at, task + " starts beyond the capacity of " + runner.id);
+    }
+  }
+  // The number of tasks of the step that are on the runner.
+  std::int64_t of_step_on(const std::string& runner, const std::string& step) const {
+    const std::set<std::string>& tasks = this->on_runner.at(runner);
+    return std::count_if(tasks.begin(), tasks.end(),
+                         [&step](const std::string& task) { return step_of(task) == step; });
+  }
+  // The capacity that all tasks on the runner take together.
+  resources used_on(const std::string& runner) const {
+    resources used;
+    for (const std::string& task : this->on_runner.at(runner)) {
+      const step_spec* const shape = this->shape_of(task);
+      if (shape != nullptr) {
+        used += {shape->best_effort ? millicores{0} : shape->need.cpu, shape->need.memory,
+                 shape->need.accelerators};
+      }
+    }
+    return used;
+  }
+
   void fail(instant at, const std::string& what) {
     this->broken.push_back(std::to_string(at.value) + ": " + what);
   }
