A claim found in the log counts from its first attempt, and only a claim can be found

Three ways in which a daemon led, or believed that it might send commands, for longer than others reckoned with:

- A claim is stored, its answer is lost, and the daemon repeats it before it reads its own record.
It then counted its command window from the last attempt, but others may have read the stored one at once, up to a time-out of the log earlier.
- A leader that has lost (a runner had seen a higher token) found its own last renewal in the log and led again, with the epoch that was over.
- A claim is found in the log before its answer arrives, then another daemon's claim ends it, then the answer arrives: the daemon led again with the lower epoch, took its old claim for the newest, and could renew it behind the other's.

Fix: the first attempt for an offset is kept until it is decided. A record of ours leads to leadership only if it stands at the offset of such an attempt, and counts from it: which repeat was stored is unknown, so the earliest is the safe one. It may end the window early; the leader renews at once after that. An answer that arrives after the claim was found, or after a later record was read, changes nothing.

--- a/src/cell/leadership.cc
+++ b/src/cell/leadership.cc
@@ -71,10 +71,12 @@
   this->last_seen_in_log =
       fresh ? this->time.now() : std::max(this->last_seen_in_log, this->last_heartbeat);
   const bool is_own = received->nonce == this->nonce;
-  if (is_own && !this->is_leader && !received->resigned && !this->stopping) {
-    // The claim was stored, but the answer to its append was lost.
+  if (this->is_unanswered_claim(record, *received) && !this->stopping) {
+    // The claim was stored, but the answer to its append was lost. Which of several attempts
+    // was stored is unknown, and others may have read the first one at once.
     this->is_leader = true;
-    this->renewed = this->renewal_sent;
+    this->renewed = std::exchange(this->unanswered, {})->sent;
+    this->renewal_sent = this->renewed;
     this->previous_until = this->earlier_commands_until();
     this->on.on_gained(received->leader_epoch);
   } else if (!is_own && this->is_leader) {
@@ -82,6 +84,12 @@
   }
 }
 
+bool leadership::is_unanswered_claim(const logged_record& record,
+                                     const leader_claim& received) const {
+  return !this->is_leader && received.nonce == this->nonce && this->unanswered &&
+         this->unanswered->offset == record.offset;
+}
+
 void leadership::lose(const std::string& why) {
   if (this->is_leader) {
     this->is_leader = false;
@@ -189,15 +197,21 @@
   next.peer_address = this->options.peer_address;
   next.peer_port = this->options.peer_port;
   this->renewal_sent = this->time.now();
+  if (!this->unanswered || this->unanswered->offset != this->end) {
+    this->unanswered = claim_attempt{this->end, this->renewal_sent};
+  }
   const instant previous = this->earlier_commands_until();
   this->append_claim(
       next, [this, next, previous, sent = this->renewal_sent](const append_answer& answer) {
-        if (answer.status != append_status::done || this->is_leader) {
+        // Without an unanswered claim this one was found in the log before its answer came.
+        const bool decided = !this->unanswered || this->end > answer.end;
+        if (answer.status != append_status::done || decided) {
           return;
         }
         this->claim = next;
         this->end = std::max(this->end, answer.end);
         this->is_leader = true;
+        this->unanswered.reset();
         this->renewed = sent;
         // The conditional append succeeded, so no renewal followed the last claim that had
         // been read when it was sent.
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -89,7 +89,17 @@
   void lose(const std::string& why);
 
  private:
+  // The first claim that was sent for an offset. It may still be stored, as may every repeat
+  // of it, until another record is there.
+  struct claim_attempt {
+    std::int64_t offset = 0;
+    instant sent;
+  };
+
   void on_record(const logged_record& record);
+  // True if the record is a claim that this daemon has sent and got no answer for. A renewal
+  // that is found after the epoch is over is none.
+  bool is_unanswered_claim(const logged_record& record, const leader_claim& received) const;
   void tick();
   void renew();
   void append_resignation();
@@ -121,6 +131,7 @@
   // later than that, so unlike the two above this is a bound and no estimate.
   instant newest_claim_read{0};
   instant previous_until{0};
+  std::optional<claim_attempt> unanswered;
   instant renewed{0};
   instant renewal_sent{0};
   bool is_leader = false;
--- a/src/cell/testing/leadership_test.cc
+++ b/src/cell/testing/leadership_test.cc
@@ -5,10 +5,13 @@
 #include <catch2/catch.hpp>
 
 #include "cell/testing/fake_cell.h"
+#include "cell/testing/recorded_log.h"
 
 namespace monsoonmux::cell {
 namespace {
 
+const leadership_options usual;
+
 // A daemon that takes part in the election, on a fake store.
 struct candidate {
   candidate(fake_loop& loop, fake_store& store, const std::string& name)
@@ -84,5 +87,111 @@
   }
 }
 
+// One candidate whose log is played by the test.
+struct lone_candidate {
+  lone_candidate() {
+    this->election.start();
+    this->log.deliver();
+  }
+  // Runs until the candidate has sent the next append; returns when that was.
+  instant next_append() {
+    while (this->log.appends.empty()) {
+      this->loop.run_for(millis{1});
+    }
+    return this->loop.now();
+  }
+  instant window_end() {
+    while (this->election.may_command()) {
+      this->loop.run_for(millis{1});
+    }
+    return this->loop.now();
+  }
+
+  fake_loop loop;
+  recorded_log log;
+  event_log events{fake_cell::log_descriptor(), loop, "d0"};
+  int gained = 0;
+  leadership election{loop,
+                      log,
+                      loop,
+                      events,
+                      candidate::options_of("d0"),
+                      {[this](epoch) { ++this->gained; }, [](const std::string&) {},
+                       [] { return true; }, [] { return millis{0}; }}};
+};
+
+TEST_CASE("A claim whose answer was lost counts from the attempt that was stored") {
+  lone_candidate c;
+  const instant stored = c.next_append();
+  c.log.execute(c.log.appends.front().request);
+  c.loop.run_for(millis{1'000});
+  c.log.answer({append_status::unknown, 0, 0, 0});
+  const instant repeated = c.next_append();
+  REQUIRE(repeated > stored);
+  c.log.answer(c.log.execute(c.log.appends.front().request));
+  c.log.deliver();
+  REQUIRE(c.election.leads());
+  CHECK(c.window_end().value <= (stored + usual.command_window).value);
+}
+
+TEST_CASE("A claim that was not stored at first counts from the attempt that was") {
+  lone_candidate c;
+  (void)c.next_append();
+  c.loop.run_for(millis{1'000});
+  c.log.answer({append_status::unknown, 0, 0, 0});
+  const instant stored = c.next_append();
+  c.log.answer(c.log.execute(c.log.appends.front().request));
+  REQUIRE(c.election.leads());
+  CHECK(c.window_end().value == (stored + usual.command_window).value);
+}
+
+TEST_CASE("A leader whose epoch is over does not lead again by its own late renewal") {
+  lone_candidate c;
+  (void)c.next_append();
+  c.log.answer(c.log.execute(c.log.appends.front().request));
+  c.log.deliver();
+  REQUIRE(c.election.leads());
+  (void)c.next_append();  // A renewal.
+  c.log.execute(c.log.appends.front().request);
+  c.election.lose("a runner has seen a higher fencing token");
+  c.log.deliver();
+  CHECK_FALSE(c.election.leads());
+  CHECK(c.gained == 1);
+}
+
+TEST_CASE("A late answer to a claim does not revive a leadership that another claim has ended") {
+  lone_candidate c;
+  (void)c.next_append();
+  const append_answer stored = c.log.execute(c.log.appends.front().request);
+  c.log.deliver();
+  REQUIRE(c.election.leads());
+  leader_claim other;
+  other.leader_epoch = epoch{2};
+  other.nonce = 1;
+  c.log.put(other);
+  c.log.deliver();
+  REQUIRE_FALSE(c.election.leads());
+  c.log.answer(stored);
+  CHECK_FALSE(c.election.leads());
+  CHECK(c.election.newest()->leader_epoch.value == 2);
+}
+
+TEST_CASE("A claim that is found in the log does not shorten the wait for its predecessor") {
+  lone_candidate c;
+  leader_claim previous;
+  previous.leader_epoch = epoch{1};
+  previous.nonce = 1;
+  c.log.put(previous);
+  const instant last_renewal_read = c.loop.now();
+  c.log.deliver();
+  (void)c.next_append();
+  c.log.execute(c.log.appends.front().request);
+  c.loop.run_for(millis{300});
+  c.log.deliver();
+  REQUIRE(c.election.leads());
+  const instant safe = last_renewal_read + usual.command_window;
+  CHECK(c.election.previous_commands_until().value >= safe.value);
+}
+
 }  // namespace
 }  // namespace monsoonmux::cell
