A run that a runner reports unexpectedly counts until its end is known

A leader that found a run which it neither had started nor inherited stopped it, but until the run had ended it stood in no allocation: other tasks were placed in its capacity at once, beside tasks of its step beyond AntiAffinity, beyond its team's quota, and its own task could start a second time on another runner.

Now the session tells the leader of such a run before it stops it. Its allocation has the need, step and team of its job. If the job is unknown, so is the need, and the runner takes no work until the run is gone. A task of which an untracked run is on some runner waits: the run is not adopted, since how it came to be closed is not known, and stopping it is the rule that needs no record. A report admits its runner last, when all that it shows is counted.

Fake runners can take longer for a stop (stop_time; 100 ms as before by default).

--- a/src/cell/leader_takeover.cc
+++ b/src/cell/leader_takeover.cc
@@ -1,5 +1,6 @@
 // How a new leader restores its state from the log: all open jobs, all runs that a previous
-// leader may have started, and the run-time estimates that it saved.
+// leader may have started, and the run-time estimates that it saved. And how it counts runs
+// that it finds on runners without having restored them.
 
 #include <algorithm>
 
@@ -66,4 +67,25 @@
   this->session_of(t.runner).recover({task, t.run});
 }
 
+// A run that the session stops counts like any other until its end is known: against its
+// runner's capacity and, if its job is known, in its step and against its team's quota.
+void leader::untracked_run_found(const std::string& runner, const run_key& run) {
+  const auto it = this->state.jobs.find(run.task.in.job);
+  const auto step = static_cast<std::size_t>(run.task.in.step);
+  allocation found;
+  found.task = run.task;
+  found.run = run.run;
+  found.need_known = it != this->state.jobs.end() && step < it->second.spec().steps.size();
+  if (found.need_known) {
+    found = make_allocation(this->state, it->second, run.task, run.run, this->services.time.now());
+  }
+  found.untracked = true;
+  found.stopping = true;
+  found.resumable = false;
+  found.expected = millis{0};
+  if (this->state.runners.add(runner, found)) {
+    this->state.teams.add(found.team, found.quota_used);
+  }
+}
+
 }  // namespace monsoonmux::cell
--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -197,13 +197,14 @@
   this->incarnation = report.incarnation;
   this->admitted = true;
   this->incarnation_uncertain = false;
+  this->process_ends(report);
+  this->process_running(report);
+  this->close_missing(report, sent);
+  // Last, so that all that the report shows is counted before any work is placed there.
   if (!this->announced) {
     this->announced = true;
     this->leader.runner_admitted(this->id, report.incarnation);
   }
-  this->process_ends(report);
-  this->process_running(report);
-  this->close_missing(report, sent);
 }
 
 // All runs of the previous incarnation are over, but a start command may already have
@@ -250,6 +251,7 @@
       // This leader did not start or adopt the run, or has closed it already.
       tracked_run& tracked = this->runs[run];
       tracked.stopping = true;
+      this->leader.untracked_run_found(this->id, run);
       this->events.write("foreign_run_stopped",
                          {{"runner", this->id}, {"task", running.task}, {"run", running.run}});
       this->send_stop(run);
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -30,6 +30,10 @@
   virtual ~session_events() = default;
   // The runner answered under our fencing token, so its free capacity is known now.
   virtual void runner_admitted(const std::string& runner, std::int64_t incarnation) = 0;
+  // The runner reports a run that the session does not track. The session stops it; its
+  // end or its loss is reported like that of any run. Called before runner_admitted() if
+  // the report is the one that admits the runner.
+  virtual void untracked_run_found(const std::string& runner, const run_key& run) = 0;
   virtual void runner_unresponsive(const std::string& runner) = 0;
   // When the end is in the log, `number` must be passed to end_stored().
   virtual void run_ended(const std::string& runner, const run_key& run, run_outcome how,
--- a/src/cell/testing/fake_runners.h
+++ b/src/cell/testing/fake_runners.h
@@ -43,6 +43,7 @@
   millis task_time{800};
   // The same for members of a gang, which end together wherever they run.
   std::optional<millis> gang_time;
+  millis stop_time{100};
   double failure_rate = 0;  // Fraction of runs that end as failed.
 
   std::int64_t clock() const {
@@ -88,8 +89,7 @@
     highest = std::max(highest, command.run);
     const auto it = this->runs.find(command.task);
     if (it != this->runs.end() && it->second.run <= command.run) {
-      constexpr millis stop_time{100};
-      it->second.ends = std::min(it->second.ends, this->loop.now() + stop_time);
+      it->second.ends = std::min(it->second.ends, this->loop.now() + this->stop_time);
       it->second.how = run_outcome::stopped;
     }
     return out;
--- /dev/null
+++ b/src/cell/testing/ledger_test.cc
@@ -0,0 +1,109 @@
+// What counts on a runner, for its capacity, the steps' AntiAffinity and the teams' quotas.
+
+#include <catch2/catch.hpp>
+
+#include "cell/testing/cell_checks.h"
+
+namespace monsoonmux::cell {
+namespace {
+
+const std::string job = job_name(1);
+const std::string other_job = job_name(2);
+
+const std::string far_rack = "r2";
+
+// A cell with a leader and two runners that are not listed yet. The first already has a
+// run that the leader does not track, and a stop there takes as long as the platform
+// allows.
+struct ledger_fixture {
+  fake_cell cell{1, 2, 7};
+
+  explicit ledger_fixture(const std::string& task, const job_spec& spec) {
+    this->cell.add_limited_team();
+    for (auto& runner : this->cell.runners) {
+      this->cell.store.put("runners", runner->entry.id, "");
+    }
+    this->cell.runners[1]->entry.labels = {"a", far_rack};
+    this->cell.loop.run_for(boot_time);
+    constexpr millis stop_grace{900};
+    this->runner().stop_time = stop_grace;
+    this->runner().task_time = millis{60'000};
+    this->cell.history.jobs[parse_task_ref(task)->in.job.text] = {spec, pool_id("s")};
+    this->begin(task);
+  }
+
+  fake_runner& runner() { return *this->cell.runners[0]; }
+  void begin(const std::string& task) {
+    start_command command;
+    command.task = task;
+    command.run = 1;
+    command.lease_until_ms = this->runner().clock() + 6'000;
+    REQUIRE(this->runner().start(command).status == command_status::done);
+  }
+  // Lists the first runners, so that the leader polls them, and lets the stop of the
+  // untracked run take half of its time.
+  void list_runners(std::size_t count) {
+    for (std::size_t i = 0; i < count; ++i) {
+      this->cell.store.put("runners", this->cell.runners[i]->entry.id, "1");
+    }
+    this->cell.loop.run_for(millis{600});
+  }
+  std::int64_t starts() const { return this->cell.history.starts - 1; }
+  void check_all_start(std::int64_t count) {
+    this->cell.loop.run_for(millis{6'000});
+    CHECK(this->starts() == count);
+    check_history(this->cell);
+  }
+};
+
+TEST_CASE("No task starts in the capacity of a run that is being stopped, whose job is unknown") {
+  ledger_fixture f(other_job + ".0.0.0", fake_cell::simple_job(1));
+  f.cell.submit(0, job, fake_cell::simple_job(4));
+  f.list_runners(1);
+  CHECK(f.starts() == 0);  // What the run needs is not known.
+  f.check_all_start(4);
+}
+
+TEST_CASE("No task starts in the capacity of a run that is being stopped, whose job is known") {
+  const job_spec spec = fake_cell::simple_job(1);
+  ledger_fixture f(other_job + ".0.0.0", spec);
+  f.cell.submit(0, other_job, spec);
+  f.cell.submit(0, job, fake_cell::simple_job(4));
+  f.list_runners(1);
+  CHECK(f.starts() == 3);
+  // The task of the stopped run starts again only where the others leave capacity.
+  f.check_all_start(4);
+}
+
+TEST_CASE("A task does not start again while an untracked run of it is being stopped") {
+  job_spec spec = fake_cell::simple_job(1);
+  spec.steps[0].affinity_rack = far_rack;  // It starts on the other runner if it may.
+  ledger_fixture f(job + ".0.0.0", spec);
+  f.cell.submit(0, job, spec);
+  f.list_runners(2);
+  CHECK(f.starts() == 0);
+  f.check_all_start(1);
+}
+
+TEST_CASE("AntiAffinity counts an untracked run that is being stopped") {
+  job_spec spec = fake_cell::simple_job(2);
+  spec.steps[0].anti_affinity = 1;
+  ledger_fixture f(job + ".0.0.1", spec);
+  f.cell.submit(0, job, spec);
+  f.list_runners(1);
+  CHECK(f.starts() == 0);
+  f.check_all_start(1);
+}
+
+TEST_CASE("A team's quota counts an untracked run that is being stopped") {
+  const job_spec spec = fake_cell::simple_job(4);
+  ledger_fixture f("limited.0.0.3", spec);
+  f.cell.history.limits["limited"] = 3;
+  f.cell.submit_limited(0, "limited", spec);
+  f.list_runners(1);
+  CHECK(f.starts() == 2);
+  f.check_all_start(3);
+}
+
+}  // namespace
+}  // namespace monsoonmux::cell
--- a/src/cell/testing/runner_session_test.cc
+++ b/src/cell/testing/runner_session_test.cc
@@ -34,9 +34,16 @@
   std::vector<std::function<void(command_answer)>> start_answers;
 };
 
-class recorded_losses final : public session_events {
+class recorded_events final : public session_events {
  public:
-  void runner_admitted(const std::string&, std::int64_t) override {}
+  bool admitted = false;
+  std::vector<run_key> untracked_before_admission;
+  void runner_admitted(const std::string&, std::int64_t) override { this->admitted = true; }
+  void untracked_run_found(const std::string&, const run_key& run) override {
+    if (!this->admitted) {
+      this->untracked_before_admission.push_back(run);
+    }
+  }
   void runner_unresponsive(const std::string&) override {}
   void run_ended(const std::string&, const run_key&, run_outcome, const std::string&,
                  std::int64_t) override {}
@@ -60,7 +67,7 @@
   std::vector<finished_run> listed;  // The ends that the runner lists.
   event_log events{fake_cell::log_descriptor(), loop, "test"};
   recorded_commands commands;
-  recorded_losses leader;
+  recorded_events leader;
   session_options options{millis{6'000}, millis{10'000}};
   runner_session session{commands, loop, events, leader, "i-1", epoch{2}, instant{0}, options};
 
@@ -307,5 +314,14 @@
   CHECK(f.commands.starts.back().lease_until_ms <= f.clock() + f.options.max_lease.value);
 }
 
+TEST_CASE("A runner takes no work before all runs that it reports are counted") {
+  session_fixture f;
+  poll_report first = f.state();
+  first.running.push_back({"job.0.0.98", 1, "", 100});
+  f.commands.report(first);
+  CHECK(f.leader.admitted);
+  CHECK(f.leader.untracked_before_admission.size() == 1);
+}
+
 }  // namespace
 }  // namespace monsoonmux::cell
--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -80,7 +80,9 @@
           continue;
         }
         for (std::size_t t = 0; t < step.tasks.size(); ++t) {
-          if (step.tasks[t].phase == task_phase::waiting) {
+          const task_ref task{{id, number, index}, static_cast<std::int32_t>(t)};
+          if (step.tasks[t].phase == task_phase::waiting &&
+              !this->state.runners.has_untracked_run(task)) {
             waiting.tasks.push_back(static_cast<std::int32_t>(t));
           }
         }
--- a/src/decide/runner_table.cc
+++ b/src/decide/runner_table.cc
@@ -27,15 +27,24 @@
   return it == this->by_id.end() ? nullptr : &it->second;
 }
 
-void runner_table::add(const std::string& id, const allocation& run) {
+void runner_table::count(runner_state& state, const allocation& run, std::int32_t sign) {
+  state.used += run.capacity_used * sign;
+  state.best_effort_runs += run.best_effort ? sign : 0;
+  state.latency_sensitive_runs += run.latency_sensitive ? sign : 0;
+  state.runs_of_unknown_need += run.need_known ? 0 : sign;
+}
+
+bool runner_table::add(const std::string& id, const allocation& run) {
   runner_state& state = this->by_id[id];
   const bool is_new = state.allocations.emplace(run_key{run.task, run.run}, run).second;
   if (!is_new) {
-    return;
+    return false;
   }
-  state.used += run.capacity_used;
-  state.best_effort_runs += run.best_effort ? 1 : 0;
-  state.latency_sensitive_runs += run.latency_sensitive ? 1 : 0;
+  count(state, run, 1);
+  if (run.untracked) {
+    ++this->untracked[run.task];
+  }
+  return true;
 }
 
 bool runner_table::remove(const std::string& id, const run_key& key) {
@@ -47,9 +56,10 @@
   if (it == state->allocations.end()) {
     return false;
   }
-  state->used -= it->second.capacity_used;
-  state->best_effort_runs -= it->second.best_effort ? 1 : 0;
-  state->latency_sensitive_runs -= it->second.latency_sensitive ? 1 : 0;
+  count(*state, it->second, -1);
+  if (it->second.untracked && --this->untracked[key.task] == 0) {
+    this->untracked.erase(key.task);
+  }
   state->allocations.erase(it);
   return true;
 }
--- a/src/decide/runner_table.h
+++ b/src/decide/runner_table.h
@@ -30,7 +30,11 @@
   std::int32_t priority = 0;  // Of its queue; 0 comes first.
   bool resumable = false;     // A stop loses no work: the run saves a checkpoint then.
   millis slack{0};            // The job can wait this long in total and still be in time.
-  bool stopping = false;      // It is being preempted by more urgent work.
+  bool stopping = false;      // It is being stopped, for instance for more urgent work.
+  // The runner reported the run, but this leader neither started nor inherited it, or had
+  // closed it already.
+  bool untracked = false;
+  bool need_known = true;  // False: its job is unknown, so nothing may be placed beside it.
 };
 
 // Identifies a run on a runner.
@@ -49,13 +53,14 @@
   resources used;
   std::int32_t best_effort_runs = 0;
   std::int32_t latency_sensitive_runs = 0;
+  std::int32_t runs_of_unknown_need = 0;
   std::int32_t consecutive_failures = 0;
   instant quarantined_until{0};  // No new work is placed on it before this time.
 
   resources free_capacity() const { return this->entry.capacity - this->used; }
   bool takes_work(instant now) const {
     return this->listed && this->admitted && !this->entry.draining &&
-           this->quarantined_until <= now;
+           this->quarantined_until <= now && this->runs_of_unknown_need == 0;
   }
   bool has_label(const std::string& label) const;
 };
@@ -74,7 +79,8 @@
 
 // All runners and the runs that may be on them. Capacity is allocated when a start is
 // decided and released only when the run is known to have ended, so a runner is never
-// allocated beyond its capacity, whatever happens to the commands in between.
+// allocated beyond its capacity, whatever happens to the commands in between. A run that a
+// runner reports unexpectedly is added as well, until its end is known.
 class runner_table {
  public:
   explicit runner_table(const runner_table_options& options = {}) : options(options) {}
@@ -86,9 +92,13 @@
   void erase(const std::string& id) { this->by_id.erase(id); }
   std::unordered_map<std::string, runner_state>& all() { return this->by_id; }
 
-  void add(const std::string& id, const allocation& run);
+  // False if the runner has the run already.
+  bool add(const std::string& id, const allocation& run);
   // Releases the capacity of the run; false if the runner has no such run.
   bool remove(const std::string& id, const run_key& key);
+  // True if an untracked run of the task is on some runner, so that starting the task
+  // would run it twice.
+  bool has_untracked_run(const task_ref& task) const { return this->untracked.contains(task); }
   // Quarantines the runners whose runs have stalled.
   void quarantine_stalled(instant now);
   // Counts consecutive failed runs, to detect and quarantine a runner on which every run
@@ -97,7 +107,11 @@
 
  private:
   const runner_table_options options;
+  // Adds (1) or subtracts (-1) the run in the sums of its runner.
+  static void count(runner_state& state, const allocation& run, std::int32_t sign);
+
   std::unordered_map<std::string, runner_state> by_id;
+  std::map<task_ref, std::int32_t> untracked;  // Number of untracked runs, by task.
 };
 
 }  // namespace monsoonmux::cell
