A run that is not tracked is logged with what tells its causes apart

Nor did anything say that a runner has more than its capacity.

The leader remembers the last 32 closed runs of each runner with the reason and the time, and writes with foreign_run_stopped: closed_as, closed_ms_ago, whether the job is known, the latest run of the task and where that is placed. runner_over_capacity is written when a runner is admitted or an untracked run is found, if the runs that may be there need more than the runner has. Counters foreign_runs and runners_over_capacity.

Tests: "An untracked run and a runner over its capacity are counted" and "Of each runner's closed runs, the last ones are remembered with their reason". Written with the code, not seen red.

--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -132,6 +132,7 @@
     runner->admitted = true;
     runner->entry.incarnation = incarnation;
   }
+  this->check_capacity(id);
   this->request_plan();
 }
 
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "cell/advice_dispatcher.h"
 #include "cell/agent_pool.h"
+#include "cell/closed_runs.h"
 #include "cell/command_gate.h"
 #include "cell/progress_writer.h"
 #include "cell/runner_session.h"
@@ -126,6 +127,10 @@
   // The time of day by the median of the daemons' clocks.
   std::int64_t wall_ms() const;
   void adopt_run(live_job& job, const task_ref& task, const live_task& t);
+  // Logs what distinguishes the causes of an untracked run.
+  void report_untracked_run(const std::string& runner, const run_key& run);
+  // Logs and counts that the runs which may be on the runner need more than its capacity.
+  void check_capacity(const std::string& runner);
   bool release_capacity(const std::string& runner, const run_key& run);
   void settle_run(const std::string& runner, const run_key& run, run_outcome how,
                   const std::string& checkpoint);
@@ -153,6 +158,7 @@
   advice_dispatcher dispatcher;
   agent_pool agents;
   command_gate gate;  // Between the sessions and the agents.
+  closed_runs closed;
   timer plan_timer;
   timer ticker;
   std::map<std::string, std::unique_ptr<runner_session>> sessions;
--- a/src/cell/leader_run_ends.cc
+++ b/src/cell/leader_run_ends.cc
@@ -21,6 +21,7 @@
 
 void leader::run_ended(const std::string& runner, const run_key& run, run_outcome how,
                        const std::string& checkpoint, std::int64_t number) {
+  this->closed.add(runner, {run, std::string(to_string(how)), this->services.time.now()});
   this->settle_run(runner, run, how, checkpoint);
   const auto stored = [this, runner, number] {
     const auto it = this->sessions.find(runner);
@@ -43,6 +44,7 @@
   this->services.events.write(
       "run_gone", {{"task", run.task.text()}, {"run", run.run}, {"runner", runner}, {"why", why}});
   this->services.metrics.count("runs_gone");
+  this->closed.add(runner, {run, std::string(why), this->services.time.now()});
   this->settle_run(runner, run, run_outcome::lost, {});
   if (this->state.jobs.contains(run.task.in.job)) {
     this->writer.write(run.task.in.job);
--- a/src/cell/leader_takeover.cc
+++ b/src/cell/leader_takeover.cc
@@ -86,6 +86,48 @@
   if (this->state.runners.add(runner, found)) {
     this->state.teams.add(found.team, found.quota_used);
   }
+  this->report_untracked_run(runner, run);
+  this->check_capacity(runner);
+}
+
+void leader::report_untracked_run(const std::string& runner, const run_key& run) {
+  nlohmann::ordered_json fields{{"runner", runner},
+                                {"task", run.task.text()},
+                                {"run", run.run},
+                                {"epoch", this->own_epoch.value}};
+  if (const auto earlier = this->closed.find(runner, run)) {
+    fields["closed_as"] = earlier->why;
+    fields["closed_ms_ago"] = (this->services.time.now() - earlier->at).value;
+  } else {
+    fields["closed_as"] = "never_tracked";
+  }
+  const auto it = this->state.jobs.find(run.task.in.job);
+  const live_task* const task = it == this->state.jobs.end() ? nullptr : it->second.find(run.task);
+  fields["job_known"] = it != this->state.jobs.end();
+  if (task != nullptr) {
+    fields["latest_run"] = task->run;
+    fields["latest_placed_on"] = task->phase == task_phase::placed ? task->runner : "";
+  }
+  this->services.events.write("foreign_run_stopped", fields);
+  this->services.metrics.count("foreign_runs");
+}
+
+void leader::check_capacity(const std::string& id) {
+  const runner_state* const runner = this->state.runners.find(id);
+  if (runner == nullptr || !runner->listed || runner->used.fits(runner->entry.capacity)) {
+    return;
+  }
+  this->services.events.write("runner_over_capacity",
+                              {{"runner", id},
+                               {"born", runner->entry.incarnation},
+                               {"runs", runner->allocations.size()},
+                               {"cpu_used", runner->used.cpu.value},
+                               {"cpu", runner->entry.capacity.cpu.value},
+                               {"memory_used", runner->used.memory.value},
+                               {"memory", runner->entry.capacity.memory.value},
+                               {"gpu_used", runner->used.accelerators.value},
+                               {"gpu", runner->entry.capacity.accelerators.value}});
+  this->services.metrics.count("runners_over_capacity");
 }
 
 }  // namespace monsoonmux::cell
--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -252,8 +252,6 @@
       tracked_run& tracked = this->runs[run];
       tracked.stopping = true;
       this->leader.untracked_run_found(this->id, run);
-      this->events.write("foreign_run_stopped",
-                         {{"runner", this->id}, {"task", running.task}, {"run", running.run}});
       this->send_stop(run);
       continue;
     }
--- a/src/cell/testing/ledger_test.cc
+++ b/src/cell/testing/ledger_test.cc
@@ -48,6 +48,10 @@
     }
     this->cell.loop.run_for(millis{600});
   }
+  // A counter of the leader's daemon.
+  std::int64_t count_of(const std::string& name) const {
+    return this->cell.nodes[0]->metrics.counts_of(name)[name];
+  }
   std::int64_t starts() const { return this->cell.history.starts - 1; }
   void check_all_start(std::int64_t count) {
     this->cell.loop.run_for(millis{6'000});
@@ -105,5 +109,36 @@
   f.check_all_start(3);
 }
 
+TEST_CASE("An untracked run and a runner over its capacity are counted") {
+  const job_spec spec = fake_cell::simple_job(4);
+  ledger_fixture f(job + ".0.0.0", spec);
+  f.cell.submit(0, job, spec);
+  f.list_runners(1);
+  CHECK(f.count_of("foreign_runs") == 1);
+  CHECK(f.count_of("runners_over_capacity") == 0);
+
+  job_spec large = fake_cell::simple_job(1);
+  large.steps[0].need.cpu = fake_cell::runner_size.cpu + millicores{1};
+  ledger_fixture over(other_job + ".0.0.0", large);
+  over.cell.submit(0, other_job, large);
+  over.list_runners(1);
+  CHECK(over.count_of("runners_over_capacity") > 0);
+}
+
+TEST_CASE("Of each runner's closed runs, the last ones are remembered with their reason") {
+  closed_runs closed;
+  const auto run = [](std::size_t number) {
+    return run_key{*parse_task_ref(job + ".0.0.0"), static_cast<std::int32_t>(number)};
+  };
+  for (std::size_t i = 0; i <= closed_runs::max_runs_per_runner; ++i) {
+    closed.add("i-0", {run(i), "not_there", instant{1'000}});
+  }
+  closed.add("i-0", {run(2), "lease_lapsed", instant{2'000}});
+  CHECK_FALSE(closed.find("i-0", run(1)).has_value());
+  CHECK(closed.find("i-0", run(2))->why == "lease_lapsed");
+  CHECK(closed.find("i-0", run(3))->at == instant{1'000});
+  CHECK_FALSE(closed.find("i-1", run(3)).has_value());
+}
+
 }  // namespace
 }  // namespace monsoonmux::cell
