Test rig: a fake connection delivers in order, and its closing last

Seen: a segmentation fault now and then in random cells through agents. runner_agent::post_flush's posted callback read a frame_link that was freed already.

Cause: in the rig alone. fake_frames.h delivered the closing of a connection 1 ms after it, and a frame after the time that the sender's link takes for it, each as an event by itself. A frame that waited for a narrow link, or for a process whose freeze was shortened, arrived after the closing; the agent was then told of the connection (opened) when nobody would tell it of its closing any more, and answered through a link that went away with that event.

Ruled out: agent_listener calls runner_agent::closed() before it drops a link, and keeps the link until its next tick; tcp_link's handlers share its state and call nobody once it is closed.

Now each direction of a fake connection delivers in the order in which it was sent, as TCP does.

Evidence: the new test with the address sanitizer, before

and after: passed. Without the sanitizer the test passes before as well.

--- a/src/cell/testing/agent_test.cc
+++ b/src/cell/testing/agent_test.cc
@@ -175,6 +175,22 @@
   }
 }
 
+// Before, the agent answered through a connection that was freed already.
+TEST_CASE(
+    "A fake connection that is closed while a frame is on its way is closed after the frame") {
+  fake_cell cell(2, 1, 1);
+  cell.loop.run_for(settle_time);
+  fake_cell::node& from = *cell.nodes[static_cast<std::size_t>(agent_of(cell))];
+  fake_cell::node& to = *cell.nodes[static_cast<std::size_t>(cell.leader())];
+  from.uplink.bytes_per_ms = 1;  // The frame takes longer than the closing by itself.
+  bool answered = false;
+  auto link = from.dialer.dial({to.name, 1}, {[&](const std::string&) { answered = true; }, [] {}});
+  link->send(encode(command_batch{}));
+  link.reset();
+  cell.loop.run_for(millis{500});
+  CHECK_FALSE(answered);
+}
+
 // Answers each command at once, and records the start commands.
 class recording_runners final : public runner_port {
  public:
--- a/src/cell/testing/fake_frames.h
+++ b/src/cell/testing/fake_frames.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -19,6 +21,28 @@
   std::unique_ptr<runner_agent>& agent;  // Null while the process is down.
 };
 
+// One direction of a connection: what is sent earlier arrives earlier, whatever the delays.
+class ordered_delivery {
+ public:
+  // Reserves the next place in the order.
+  std::int64_t place() { return this->next_place++; }
+  // The message of this place is at its receiver, which takes it after all earlier ones.
+  void arrive(std::int64_t place, std::function<void()> take) {
+    this->arrived.emplace(place, std::move(take));
+    for (auto it = this->arrived.begin();
+         it != this->arrived.end() && it->first == this->next_taken; it = this->arrived.begin()) {
+      auto message = this->arrived.extract(it);
+      ++this->next_taken;
+      message.mapped()();
+    }
+  }
+
+ private:
+  std::int64_t next_place = 0;
+  std::int64_t next_taken = 0;
+  std::map<std::int64_t, std::function<void()>> arrived;
+};
+
 // Connections from one fake process to the agents of others. Frames from and to an isolated
 // process are lost without an error, as in a network partition.
 class fake_dialer final : public frame_dialer {
@@ -62,11 +86,17 @@
       if (c.partitioned()) {
         return;
       }
-      c.from.after(network_delay, [s = c.self.lock(), frame = std::move(frame)] {
-        if (s && s->open) {
-          s->on.on_frame(frame);
-        }
-      });
+      c.from.after(network_delay,
+                   [s = c.self.lock(), frame = std::move(frame), place = c.to_leader.place()] {
+                     if (!s) {
+                       return;
+                     }
+                     s->to_leader.arrive(place, [&c = *s, frame] {
+                       if (c.open) {
+                         c.on.on_frame(frame);
+                       }
+                     });
+                   });
     }
   };
 
@@ -82,9 +112,22 @@
     std::weak_ptr<connection> self{};
     std::int64_t number = 0;
     std::pair<std::uint64_t, std::uint64_t> incarnations{};
+    ordered_delivery to_agent{};
+    ordered_delivery to_leader{};
     bool open = true;
     bool announced = false;
 
+    // A frame is at the agent.
+    void deliver(const std::string& frame) {
+      if (!this->to.agent) {
+        return;
+      }
+      if (!std::exchange(this->announced, true)) {
+        this->to.agent->opened(this->number, this->answers);
+      }
+      // Frames that were sent before the leader closed the connection still arrive.
+      (void)this->to.agent->received(this->number, frame);
+    }
     bool partitioned() const {
       return this->isolated.contains(this->from_name) || this->isolated.contains(this->to_name);
     }
@@ -97,10 +140,14 @@
     ~client_link() override {
       this->shared->open = false;
       fake_agent_host& host = this->shared->to;
-      host.process.after(network_delay, [&host, s = this->shared] {
-        if (host.agent && s->announced) {
-          host.agent->closed(s->number);
-        }
+      const std::int64_t place = this->shared->to_agent.place();
+      // The closing follows the frames that were sent before.
+      host.process.after(network_delay, [&host, s = this->shared, place] {
+        s->to_agent.arrive(place, [&host, &c = *s] {
+          if (host.agent && c.announced) {
+            host.agent->closed(c.number);
+          }
+        });
       });
     }
     void send(std::string frame) override {
@@ -117,15 +164,8 @@
         return;
       }
       const millis delay = s->uplink.transmit(frame.size()) + network_delay;
-      s->to.process.after(delay, [s, frame = std::move(frame)] {
-        if (!s->to.agent) {
-          return;
-        }
-        if (!std::exchange(s->announced, true)) {
-          s->to.agent->opened(s->number, s->answers);
-        }
-        // Frames that were sent before the leader closed the connection still arrive.
-        (void)s->to.agent->received(s->number, frame);
+      s->to.process.after(delay, [s, frame = std::move(frame), place = s->to_agent.place()] {
+        s->to_agent.arrive(place, [&c = *s, frame] { c.deliver(frame); });
       });
     }
     std::shared_ptr<connection> shared;
