An agent does not answer through a listener's connections after the listener's end

The shipped daemon was not seen to fail by this: there both go away after the event loop has stopped, and no posted batch runs then. Nothing but the order of members ensured it.

The listener now tells the agent of each connection that it closes with its own end.

Read and found right: closing by the peer, by an unreadable frame, by idleness (closed() first, the link is kept until the next tick), and tcp_link's handlers after its end (they own its state and call nobody).

--- a/src/cell/agent_listener.cc
+++ b/src/cell/agent_listener.cc
@@ -41,6 +41,12 @@
   this->tick();
 }
 
+agent_listener::~agent_listener() {
+  for (const auto& [number, c] : this->connections) {
+    this->agent.closed(number);
+  }
+}
+
 void agent_listener::accept() {
   this->acceptor.async_accept(
       [this, still_alive = std::weak_ptr(this->alive)](asio::error_code error, tcp::socket socket) {
--- a/src/cell/agent_listener.h
+++ b/src/cell/agent_listener.h
@@ -25,6 +25,10 @@
   // Throws std::runtime_error if the address cannot be bound.
   agent_listener(asio::io_context& io, event_loop& loop, const clock& time, event_log& events,
                  runner_agent& agent, const std::string& address, std::uint16_t port);
+  // Closes all connections. The agent must still exist.
+  ~agent_listener();
+  agent_listener(const agent_listener&) = delete;
+  agent_listener& operator=(const agent_listener&) = delete;
 
  private:
   struct connection {
--- a/src/cell/testing/agent_test.cc
+++ b/src/cell/testing/agent_test.cc
@@ -300,6 +300,22 @@
   CHECK(pair.direct.starts.size() == 1);
 }
 
+TEST_CASE("An agent answers no more through connections of a listener that is gone") {
+  tcp_pair pair;
+  constexpr std::int64_t first_connection = 1;
+  const std::string frame = encode(command_batch{never, {{1, command_to("r")}}});
+  int answers = 0;
+  const auto link = pair.dialer.dial({"127.0.0.1", tcp_pair::agent_port},
+                                     {[&answers](const std::string&) { ++answers; }, [] {}});
+  link->send(frame);
+  REQUIRE(pair.run_until([&] { return answers == 1; }));
+  REQUIRE(pair.agent.received(first_connection, frame));  // Its answer waits in the loop.
+  pair.listener.reset();
+  pair.io.run_for(std::chrono::milliseconds(100));
+  CHECK(answers == 1);
+  CHECK_FALSE(pair.agent.received(first_connection, frame));
+}
+
 TEST_CASE("A frame that is no command batch closes the connection and has no other effect") {
   tcp_pair pair;
   bool disconnected = false;
