A task does not run again after an earlier run is listed as done

Cause: live_job::finish ignored the end of a run that the leader had given up (not_there, lease_lapsed), whatever it was; the end was acknowledged all the same. The task, waiting or placed again, ran once more.

Mend: done counts for an earlier run too, in a job that is not over, and not for tasks that last. The task is done, and with it the whole gang, as for the current run. - Waiting: it is not placed any more. - Placed again, start not sent: send_starts finds the task done and gives the capacity back. - Placed again, start sent: the later run is stopped ("superseded_run_stopped"). Its start may have been carried out before; that cannot be undone. Such an end is no sample of how long the task takes.

Failed ends of given-up runs still do not count as attempts: after a takeover runners list ends again that the previous leader has counted already, and nothing tells the two apart. For done that is no matter, since it can count only once.

Stopping the later run in the leader has no test of its own.

--- a/src/cell/leader_run_ends.cc
+++ b/src/cell/leader_run_ends.cc
@@ -63,13 +63,22 @@
   const live_task* const task = job.find(run.task);
   // The duration of a run that was observed only in part, because it was inherited from a
   // previous leader or resumed, is no sample of how long the task takes.
-  const bool fully_observed = task != nullptr && !task->inherited && !task->resumed;
+  const bool current = task != nullptr && task->phase == task_phase::placed && task->run == run.run;
+  const bool fully_observed = current && !task->inherited && !task->resumed;
   const instant placed_at = task != nullptr ? task->placed_at : instant{0};
   const end_effect effect = job.finish(run.task, run.run, how, checkpoint);
   if (!effect.counted) {
     this->forget_if_final(run.task.in.job);
     return;
   }
+  for (const superseded_run& later : effect.superseded) {
+    this->services.events.write("superseded_run_stopped", {{"task", later.task.text()},
+                                                           {"run", later.run},
+                                                           {"runner", later.runner},
+                                                           {"done_run", run.run},
+                                                           {"done_on", runner}});
+    this->session_of(later.runner).stop({later.task, later.run});
+  }
   if (how == run_outcome::done || how == run_outcome::failed) {
     this->state.runners.record_run_outcome(runner, how == run_outcome::failed,
                                            this->services.time.now());
--- a/src/decide/live_job.cc
+++ b/src/decide/live_job.cc
@@ -177,15 +177,22 @@
                             const std::string& checkpoint) {
   end_effect effect;
   live_task* const t = this->find(task);
-  if (t == nullptr || t->phase != task_phase::placed || t->run != run) {
+  if (t == nullptr) {
     return effect;
   }
-  effect.counted = true;
-  // A lost run may never have started on its runner.
-  this->ever_started = this->ever_started || outcome != run_outcome::lost;
   live_step& step =
       this->open_occurrences.at(task.in.occurrence).steps[static_cast<std::size_t>(task.in.step)];
   const step_spec& shape = this->spec().steps[static_cast<std::size_t>(task.in.step)];
+  const bool current = t->phase == task_phase::placed && t->run == run;
+  if (!current && !this->is_late_done(*t, shape, run, outcome)) {
+    return effect;
+  }
+  effect.counted = true;
+  if (outcome == run_outcome::done) {
+    effect.superseded = superseded_by(task, run, step, shape);
+  }
+  // A lost run may never have started on its runner.
+  this->ever_started = this->ever_started || outcome != run_outcome::lost;
   if (!checkpoint.empty()) {
     t->checkpoint = checkpoint;
   }
@@ -212,6 +219,27 @@
   return effect;
 }
 
+// A run that was given up, because it seemed to be over, is done after all.
+bool live_job::is_late_done(const live_task& t, const step_spec& shape, std::int32_t run,
+                            run_outcome outcome) const {
+  return outcome == run_outcome::done && !shape.long_running && !is_final(this->state) &&
+         t.phase != task_phase::done && run <= t.run;
+}
+
+std::vector<superseded_run> live_job::superseded_by(const task_ref& task, std::int32_t run,
+                                                    const live_step& step, const step_spec& shape) {
+  std::vector<superseded_run> out;
+  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+    const live_task& member = step.tasks[i];
+    const auto index = static_cast<std::int32_t>(i);
+    const bool concerned = shape.gang || index == task.index;
+    if (concerned && member.phase == task_phase::placed && member.run > run) {
+      out.push_back({member.runner, {task.in, index}, member.run});
+    }
+  }
+  return out;
+}
+
 void live_job::finish_done(live_step& step, const step_spec& shape, live_task& task) {
   if (!shape.gang) {
     this->mark_done(step, task);
--- a/src/decide/live_job.h
+++ b/src/decide/live_job.h
@@ -43,9 +43,17 @@
   bool complete() const;
 };
 
+// A run of a task that an earlier run has done, so it must not start and has to stop.
+struct superseded_run {
+  std::string runner;
+  task_ref task;
+  std::int32_t run = 0;
+};
+
 // The effect of the end of a run on its job.
 struct end_effect {
-  bool counted = false;  // False: the run was no longer the current one of its task.
+  bool counted = false;  // False: the end changes nothing.
+  std::vector<superseded_run> superseded;
   bool step_done = false;
   bool job_final = false;
 };
@@ -79,7 +87,8 @@
              std::int64_t runner_incarnation, instant now);
   // The run number for the next start of the task. All members of a gang share it.
   std::int32_t next_run(const task_ref& task);
-  // Applies the end of a run.
+  // Applies the end of a run. Of an earlier run than the current one, which was given up,
+  // only `done` counts: the task must not run again then.
   end_effect finish(const task_ref& task, std::int32_t run, run_outcome outcome,
                     const std::string& checkpoint);
   // The checkpoint that the task's next run resumes from; empty: it starts afresh.
@@ -92,6 +101,10 @@
 
  private:
   live_occurrence new_occurrence() const;
+  bool is_late_done(const live_task& t, const step_spec& shape, std::int32_t run,
+                    run_outcome outcome) const;
+  static std::vector<superseded_run> superseded_by(const task_ref& task, std::int32_t run,
+                                                   const live_step& step, const step_spec& shape);
   void mark_done(live_step& step, live_task& task);
   void finish_done(live_step& step, const step_spec& shape, live_task& task);
   void count_failure(live_step& step, const step_spec& shape, live_task& task);
