What was placed on a runner is not sent to its next incarnation

What callers would see: more tasks on a runner than its capacity, its AntiAffinity or its labels allow (LIMIT, ROUTE): the next incarnation may be of another kind.

Cause, three ways by which the capacity of one incarnation counted for the next: - send_starts sent what was placed before the restart, although the session knew of it: the append of the placements can take long. - A start without an answer was sent again after the session had learned of the restart. - runner_admitted wrote the incarnation of the report into the runner's entry, whose capacity and labels are those of the incarnation that wrote it.

Mend: send_starts and retries ask the session whether its last report was of the incarnation placed on ("runner_restarted"; a start that may still be executed is closed by a stop). A runner gets work only while its entry is of the incarnation that reported.

An entry is written about each HeartbeatMs, so a restarted runner gets work that much later if the poll is faster than its entry. A restart that the session has not heard of is not caught: neither a report nor Target-Instance can tell before the start arrives.

--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -115,7 +115,8 @@
   }
   runner_session& session = this->session_of(entry.id);
   session.update(entry);
-  this->state.runners.find(entry.id)->admitted = session.is_announced();
+  this->state.runners.find(entry.id)->admitted =
+      session.is_announced() && session.may_run(entry.incarnation);
 }
 
 void leader::runner_unlisted(const std::string& id) {
@@ -129,8 +130,8 @@
 
 void leader::runner_admitted(const std::string& id, std::int64_t incarnation) {
   if (runner_state* const runner = this->state.runners.find(id)) {
-    runner->admitted = true;
-    runner->entry.incarnation = incarnation;
+    // The capacity and the labels in an entry are those of its incarnation.
+    runner->admitted = runner->entry.incarnation == incarnation;
   }
   this->check_capacity(id);
   this->request_plan();
@@ -315,6 +316,10 @@
       this->run_lost(p.runner, run, "no_longer_wanted");
       continue;
     }
+    if (!this->session_of(p.runner).may_run(p.runner_incarnation)) {
+      this->run_lost(p.runner, run, "runner_restarted");
+      continue;
+    }
     // The append may have taken long: the ticket may have expired, or a newer one arrived.
     const std::string ticket = this->state.advice.ticket_for(p.task.in, p.runner, now);
     if (!p.ticket.empty() && ticket.empty()) {
--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -78,7 +78,7 @@
       this->entry.incarnation != 0 && next.incarnation != this->entry.incarnation;
   this->entry = next;
   this->listed = true;
-  if (this->incarnation == 0 || restarted) {
+  if (this->incarnation == 0 || (restarted && next.incarnation != this->incarnation)) {
     this->runner_time.assume(next.clock_ms, this->time.now());
   }
   if (restarted && next.incarnation != this->incarnation) {
@@ -304,11 +304,16 @@
   tracked.command.payload = std::move(payload);
   tracked.command.ticket = std::move(ticket);
   tracked.command.checkpoint = std::move(checkpoint);
+  tracked.placed_on = this->incarnation;
   this->send_start(run);
 }
 
 void runner_session::send_start(const run_key& run) {
   tracked_run& tracked = this->runs.at(run);
+  if (!this->may_run(tracked.placed_on)) {
+    this->start_refused(run, tracked, "runner_restarted");
+    return;
+  }
   ++tracked.attempts;
   tracked.next_try = never;
   tracked.command.target = this->target();
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -76,6 +76,10 @@
   bool has_runs() const { return !this->runs.empty(); }
   // True if, as far as known, the present incarnation has answered under our token.
   bool is_announced() const { return this->announced; }
+  // True unless the runner's last report was of another incarnation.
+  bool may_run(std::int64_t other) const {
+    return this->incarnation == 0 || this->incarnation == other;
+  }
 
  private:
   struct tracked_run {
@@ -83,6 +87,7 @@
     instant answered_at{0};              // When a start or stop was answered; 0: not yet.
     std::int32_t unanswered_starts = 0;  // Start commands without an answer.
     std::int32_t attempts = 0;
+    std::int64_t placed_on = 0;  // The incarnation that the start is meant for.
     bool stopping = false;
     bool stop_in_flight = false;
     bool stop_answered = false;
--- a/src/cell/testing/runner_session_test.cc
+++ b/src/cell/testing/runner_session_test.cc
@@ -18,7 +18,9 @@
     this->starts.push_back(command);
     this->start_answers.push_back(std::move(on_answer));
   }
-  void stop(const stop_command&, std::function<void(command_answer)>) override {}
+  void stop(const stop_command& command, std::function<void(command_answer)>) override {
+    this->stops.push_back(command);
+  }
   void poll(const poll_request& request, std::function<void(poll_answer)> on_answer) override {
     this->polls.push_back(request);
     this->answers.push_back(std::move(on_answer));
@@ -31,6 +33,7 @@
   std::vector<poll_request> polls;
   std::vector<std::function<void(poll_answer)>> answers;
   std::vector<start_command> starts;
+  std::vector<stop_command> stops;
   std::vector<std::function<void(command_answer)>> start_answers;
 };
 
@@ -305,6 +308,24 @@
   CHECK(f.leader.lost.empty());
 }
 
+TEST_CASE("A start is not sent again to another incarnation than the one it was placed on") {
+  session_fixture f;
+  f.report({});
+  f.loop.run_for(millis{2'000});
+  f.session.tick();
+  f.start("job.0.0.5");
+  f.restart_runner();
+  f.loop.run_for(millis{300});
+  f.commands.start_answers.back()({command_status::unknown, {}});
+  f.report({});
+  f.loop.run_for(f.options.retry);
+  f.session.tick();
+  CHECK(f.commands.starts.size() == 1);
+  // The first start may still be executed, so a stop has to close the run.
+  REQUIRE(f.commands.stops.size() == 1);
+  CHECK(f.commands.stops[0].task == "job.0.0.5");
+}
+
 TEST_CASE("A lease is not reckoned by the clock of an earlier incarnation in an old entry") {
   session_fixture f;
   f.report({});
