--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -291,11 +291,32 @@
     return;
   }
   for (const run_key& run : missing) {
+    this->log_closed(run, this->runs.at(run), "not_there");
     this->runs.erase(run);
     this->leader.run_lost(this->id, run, "not_there");
   }
 }
 
+// What the conclusion that a run is over without a listed end was based on.
+void runner_session::log_closed(const run_key& run, const tracked_run& tracked,
+                                std::string_view why) {
+  const instant now = this->time.now();
+  const std::int64_t since_answer =
+      tracked.answered_at == instant{0} ? -1 : (now - tracked.answered_at).value;
+  this->events.write("run_closed", {{"runner", this->id},
+                                    {"task", run.task.text()},
+                                    {"run", run.run},
+                                    {"why", why},
+                                    {"incarnation", this->incarnation},
+                                    {"placed_on", tracked.placed_on},
+                                    {"inherited", tracked.recovered},
+                                    {"answered_ms", since_answer},
+                                    {"unanswered_starts", tracked.unanswered_starts},
+                                    {"proof_ms", this->proof_age(now).value},
+                                    {"lease_over_ms", (now - this->leases_expire_at).value},
+                                    {"acknowledged", this->acknowledged_up_to}});
+}
+
 void runner_session::start(const run_key& run, std::string payload, std::string ticket,
                            std::string checkpoint) {
   tracked_run& tracked = this->runs[run];
@@ -461,6 +482,7 @@
   this->admitted = false;
   std::vector<run_key> expired;
   for (const auto& [run, tracked] : this->runs) {
+    this->log_closed(run, tracked, "lease_lapsed");
     expired.push_back(run);
   }
   this->runs.clear();
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -107,6 +107,7 @@
   void process_running(const poll_report& report);
   static bool lists(const poll_report& report, const run_key& run);
   void close_missing(const poll_report& report, instant sent);
+  void log_closed(const run_key& run, const tracked_run& tracked, std::string_view why);
   void send_start(const run_key& run);
   void start_answered(const run_key& run, const command_answer& answer, instant sent);
   void start_refused(const run_key& run, tracked_run& tracked, std::string_view why);
