--- a/src/cell/testing/ledger_test.cc
+++ b/src/cell/testing/ledger_test.cc
@@ -140,5 +140,33 @@
   CHECK_FALSE(closed.find("i-1", run(3)).has_value());
 }
 
+TEST_CASE("A restarted runner takes no work by the capacity and labels that it had before") {
+  fake_cell cell(1, 1, 7);
+  fake_runner& runner = *cell.runners[0];
+  runner.entry.labels.push_back(far_rack);
+  cell.loop.run_for(boot_time);
+  runner.task_time = millis{60'000};
+  cell.submit(0, other_job, fake_cell::simple_job(1));
+  cell.loop.run_for(millis{500});
+  REQUIRE(cell.history.starts == 1);
+
+  // The leader notices the restart by a poll, before it reads the new entry.
+  runner.crash();
+  runner.restart();
+  runner.entry.capacity.cpu = millicores{2'000};
+  runner.entry.labels = {"a", "r1"};
+  cell.loop.run_for(millis{3'000});
+  job_spec labelled = fake_cell::simple_job(1);
+  labelled.steps[0].required_label = far_rack;
+  cell.submit(0, job_name(3), labelled);
+  cell.submit(0, job, fake_cell::simple_job(4));
+  cell.loop.run_for(millis{5'000});
+  check_history(cell);
+  cell.store.put("runners", runner.entry.id, "1");
+  cell.loop.run_for(millis{3'000});
+  CHECK(cell.history.used_on(runner.entry.id).cpu == millicores{2'000});
+  check_history(cell);
+}
+
 }  // namespace
 }  // namespace monsoonmux::cell
