What was placed before an untracked run was found on its runner is not sent

A start is decided, its record is appended, then it is sent. A run that was found on the runner in between counted for later placements only:

1002602 d0 placed job1001 tasks=3 on i-0 (records on their way, log at 150 ms) 1002824 d0 foreign_run_stopped job1004.0.0.0 on i-0 1002903 job1001.0.0.2 starts beyond the capacity of i-0

send_starts gives up the placements of steps of which one is on a runner, or of a task, of which an untracked run was found since: they are placed again. Whole steps, so that no part of a gang is sent.

Test: "What was placed before an untracked run was found on its runner is not sent", red before as above.

--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -1,6 +1,7 @@
 #include "cell/leader.h"
 
 #include <algorithm>
+#include <set>
 
 #include "cell/clock_drift.h"
 
@@ -15,6 +16,31 @@
 // Subtracted from the lifetime of a ticket, for the time that it took to arrive.
 constexpr millis ticket_transit_time{120};
 
+// True if, since the placement was decided at `placed_at`, an untracked run was found that
+// may take the capacity on its runner, or that is a run of its task.
+bool is_outdated(runner_table& runners, const placement& p, instant placed_at) {
+  const runner_state* const runner = runners.find(p.runner);
+  return runners.has_untracked_run(p.task) ||
+         (runner != nullptr && std::any_of(runner->allocations.begin(), runner->allocations.end(),
+                                           [placed_at](const auto& entry) {
+                                             return entry.second.untracked &&
+                                                    entry.second.since >= placed_at;
+                                           }));
+}
+
+// The steps with outdated placements.
+std::set<step_ref> outdated_steps(cell_state& state, const std::vector<placement>& starts) {
+  std::set<step_ref> steps;
+  for (const placement& p : starts) {
+    const auto it = state.jobs.find(p.task.in.job);
+    const live_task* const task = it == state.jobs.end() ? nullptr : it->second.find(p.task);
+    if (task != nullptr && is_outdated(state.runners, p, task->placed_at)) {
+      steps.insert(p.task.in);
+    }
+  }
+  return steps;
+}
+
 }  // namespace
 
 leader::leader(const leader_services& given, daemon_id name, epoch new_epoch,
@@ -305,6 +331,8 @@
 
 void leader::send_starts(const std::vector<placement>& starts) {
   const instant now = this->services.time.now();
+  // No member of a gang is sent unless all are.
+  const std::set<step_ref> outdated = outdated_steps(this->state, starts);
   for (const placement& p : starts) {
     const auto it = this->state.jobs.find(p.task.in.job);
     const live_task* const task = it == this->state.jobs.end() ? nullptr : it->second.find(p.task);
@@ -320,6 +348,10 @@
       this->run_lost(p.runner, run, "runner_restarted");
       continue;
     }
+    if (outdated.contains(p.task.in)) {
+      this->run_lost(p.runner, run, "untracked_run_found");
+      continue;
+    }
     // The append may have taken long: the ticket may have expired, or a newer one arrived.
     const std::string ticket = this->state.advice.ticket_for(p.task.in, p.runner, now);
     if (!p.ticket.empty() && ticket.empty()) {
--- a/src/cell/leader_takeover.cc
+++ b/src/cell/leader_takeover.cc
@@ -77,8 +77,9 @@
   found.run = run.run;
   found.need_known = it != this->state.jobs.end() && step < it->second.spec().steps.size();
   if (found.need_known) {
-    found = make_allocation(this->state, it->second, run.task, run.run, this->services.time.now());
+    found = make_allocation(this->state, it->second, run.task, run.run, found.since);
   }
+  found.since = this->services.time.now();
   found.untracked = true;
   found.stopping = true;
   found.resumable = false;
--- a/src/cell/testing/ledger_test.cc
+++ b/src/cell/testing/ledger_test.cc
@@ -168,5 +168,34 @@
   check_history(cell);
 }
 
+TEST_CASE("What was placed before an untracked run was found on its runner is not sent") {
+  fake_cell cell(1, 1, 7);
+  fake_runner& runner = *cell.runners[0];
+  cell.loop.run_for(boot_time);
+  cell.submit(0, other_job, fake_cell::simple_job(1));
+  cell.loop.run_for(millis{300});
+  REQUIRE(cell.history.starts == 1);
+  // Tasks are placed, but the log is slow to take the records of their starts.
+  cell.store.latency = millis{150};
+  runner.task_time = millis{60'000};
+  runner.stop_time = millis{900};
+  cell.submit(0, job, fake_cell::simple_job(4));
+  const std::string strange = job_name(4);
+  job_spec spec = fake_cell::simple_job(1);
+  spec.steps[0].need.cpu = millicores{2'000};
+  cell.history.jobs[strange] = {spec, pool_id("s")};
+  // The report of the first job's end, 800 ms after its start, lists an untracked run.
+  cell.loop.run_for(millis{350});
+  start_command command;
+  command.target.token = epoch{1};
+  command.task = strange + ".0.0.0";
+  command.run = 1;
+  command.lease_until_ms = runner.clock() + 6'000;
+  REQUIRE(runner.start(command).status == command_status::done);
+  cell.loop.run_for(millis{8'000});
+  check_history(cell);
+  CHECK(cell.history.of_step_on(runner.entry.id, job + ".0.0.") == 4);
+}
+
 }  // namespace
 }  // namespace monsoonmux::cell
