What was placed on a runner before its restart is not sent to the restarted one

While the record of a decided start was on its way into the log, the runner could restart as another kind: the start was sent all the same.

1002302 d0 placed job1001 tasks=4 on i-0 (4 cores; log at 150 ms) 1002466 d0 runner_reborn i-0 1002466 d0 runner_over_capacity i-0 cpu_used=4000 cpu=2000 1002603 job1001.0.0.2 and job1001.0.0.3 start beyond the capacity of i-0

Test: "What was placed on a runner before its restart is not sent to the restarted one", red before as above.

--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -1,7 +1,7 @@
 #include "cell/leader.h"
 
 #include <algorithm>
-#include <set>
+#include <string_view>
 
 #include "cell/clock_drift.h"
 
@@ -16,26 +16,34 @@
 // Subtracted from the lifetime of a ticket, for the time that it took to arrive.
 constexpr millis ticket_transit_time{120};
 
-// True if, since the placement was decided at `placed_at`, an untracked run was found that
-// may take the capacity on its runner, or that is a run of its task.
-bool is_outdated(runner_table& runners, const placement& p, instant placed_at) {
+// Why the placement, which was decided at `placed_at`, must not be sent any more; empty if
+// it may be.
+std::string_view why_outdated(runner_table& runners, const placement& p, instant placed_at) {
   const runner_state* const runner = runners.find(p.runner);
-  return runners.has_untracked_run(p.task) ||
-         (runner != nullptr && std::any_of(runner->allocations.begin(), runner->allocations.end(),
-                                           [placed_at](const auto& entry) {
-                                             return entry.second.untracked &&
-                                                    entry.second.since >= placed_at;
-                                           }));
+  if (runner == nullptr || !runner->admitted) {
+    return "runner_not_admitted";
+  }
+  if (runner->entry.incarnation != p.runner_incarnation) {
+    return "runner_restarted";
+  }
+  const bool untracked_found = std::any_of(
+      runner->allocations.begin(), runner->allocations.end(), [placed_at](const auto& entry) {
+        return entry.second.untracked && entry.second.since >= placed_at;
+      });
+  return untracked_found || runners.has_untracked_run(p.task) ? "untracked_run_found" : "";
 }
 
-// The steps with outdated placements.
-std::set<step_ref> outdated_steps(cell_state& state, const std::vector<placement>& starts) {
-  std::set<step_ref> steps;
+// The steps with outdated placements, and why one of them is.
+std::map<step_ref, std::string_view> outdated_steps(cell_state& state,
+                                                    const std::vector<placement>& starts) {
+  std::map<step_ref, std::string_view> steps;
   for (const placement& p : starts) {
     const auto it = state.jobs.find(p.task.in.job);
     const live_task* const task = it == state.jobs.end() ? nullptr : it->second.find(p.task);
-    if (task != nullptr && is_outdated(state.runners, p, task->placed_at)) {
-      steps.insert(p.task.in);
+    const std::string_view why =
+        task != nullptr ? why_outdated(state.runners, p, task->placed_at) : "";
+    if (!why.empty()) {
+      steps.emplace(p.task.in, why);
     }
   }
   return steps;
@@ -332,7 +340,7 @@
 void leader::send_starts(const std::vector<placement>& starts) {
   const instant now = this->services.time.now();
   // No member of a gang is sent unless all are.
-  const std::set<step_ref> outdated = outdated_steps(this->state, starts);
+  const std::map<step_ref, std::string_view> outdated = outdated_steps(this->state, starts);
   for (const placement& p : starts) {
     const auto it = this->state.jobs.find(p.task.in.job);
     const live_task* const task = it == this->state.jobs.end() ? nullptr : it->second.find(p.task);
@@ -344,12 +352,8 @@
       this->run_lost(p.runner, run, "no_longer_wanted");
       continue;
     }
-    if (!this->session_of(p.runner).may_run(p.runner_incarnation)) {
-      this->run_lost(p.runner, run, "runner_restarted");
-      continue;
-    }
-    if (outdated.contains(p.task.in)) {
-      this->run_lost(p.runner, run, "untracked_run_found");
+    if (const auto why = outdated.find(p.task.in); why != outdated.end()) {
+      this->run_lost(p.runner, run, why->second);
       continue;
     }
     // The append may have taken long: the ticket may have expired, or a newer one arrived.
--- a/src/cell/testing/ledger_test.cc
+++ b/src/cell/testing/ledger_test.cc
@@ -197,5 +197,23 @@
   CHECK(cell.history.of_step_on(runner.entry.id, job + ".0.0.") == 4);
 }
 
+TEST_CASE("What was placed on a runner before its restart is not sent to the restarted one") {
+  fake_cell cell(1, 1, 7);
+  fake_runner& runner = *cell.runners[0];
+  cell.loop.run_for(boot_time);
+  runner.task_time = millis{60'000};
+  // Tasks are placed, but the log is slow to take the records of their starts.
+  cell.store.latency = millis{150};
+  cell.submit(0, job, fake_cell::simple_job(4));
+  cell.loop.run_for(millis{310});
+  runner.crash();
+  runner.restart();
+  runner.entry.capacity.cpu = millicores{2'000};
+  cell.store.put("runners", runner.entry.id, "1");
+  cell.loop.run_for(millis{5'000});
+  check_history(cell);
+  CHECK(cell.history.used_on(runner.entry.id).cpu == millicores{2'000});
+}
+
 }  // namespace
 }  // namespace monsoonmux::cell
