Test: a later run is stopped once an earlier run is listed as done

A runner that is cut off ends a task, its lease lapses for the leader, the task starts elsewhere, the cut is over.

--- a/src/cell/testing/cell_test.cc
+++ b/src/cell/testing/cell_test.cc
@@ -407,5 +407,29 @@
   check_history(cell);
 }
 
+TEST_CASE("A later run is stopped once an earlier run that was given up is listed as done") {
+  fake_cell cell(3, 2, 31);
+  cell.loop.run_for(boot_time);
+  cell.submit(0, job_name(0), fake_cell::simple_job(1));
+  cell.loop.run_for(millis{300});
+  REQUIRE(cell.history.starts == 1);
+  for (auto& runner : cell.runners) {
+    runner->partitioned = {"d0", "d1", "d2"};
+    runner->task_time = millis{60'000};
+  }
+  cell.loop.run_for(millis{1'500});
+  const std::size_t first = cell.runners[0]->has_ends() ? 0 : 1;
+  cell.runners[1 - first]->partitioned.clear();
+  cell.loop.run_for(millis{12'000});
+  const std::string task = job_name(0) + ".0.0.0";
+  REQUIRE(cell.history.starts == 2);
+  REQUIRE(cell.history.running[task] == 1);
+  cell.runners[first]->partitioned.clear();
+  cell.loop.run_for(millis{3'000});
+  CHECK(cell.phase(job_name(0)) == job_phase::completed);
+  CHECK(cell.history.running[task] == 0);
+  check_history(cell);
+}
+
 }  // namespace
 }  // namespace monsoonmux::cell
