--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -149,8 +149,7 @@
   }
   runner_session& session = this->session_of(entry.id);
   session.update(entry);
-  this->state.runners.find(entry.id)->admitted =
-      session.is_announced() && session.may_run(entry.incarnation);
+  this->state.runners.find(entry.id)->admitted = session.is_announced();
 }
 
 void leader::runner_unlisted(const std::string& id) {
@@ -162,10 +161,9 @@
   }
 }
 
-void leader::runner_admitted(const std::string& id, std::int64_t incarnation) {
+void leader::runner_admitted(const std::string& id) {
   if (runner_state* const runner = this->state.runners.find(id)) {
-    // The capacity and the labels in an entry are those of its incarnation.
-    runner->admitted = runner->entry.incarnation == incarnation;
+    runner->admitted = true;
   }
   this->check_capacity(id);
   this->request_plan();
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -103,7 +103,7 @@
   bool can_write() const { return this->writer.log_responsive(); }
 
  private:
-  void runner_admitted(const std::string& runner, std::int64_t incarnation) override;
+  void runner_admitted(const std::string& runner) override;
   void untracked_run_found(const std::string& runner, const run_key& run) override;
   void runner_unresponsive(const std::string& runner) override;
   void run_ended(const std::string& runner, const run_key& run, run_outcome how,
--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -136,7 +136,8 @@
   const bool may_acknowledge = this->acknowledgement_due() && !this->incarnation_uncertain &&
                                this->proof_age(now) <= shortest_restart_and_run;
   request.acked_up_to = may_acknowledge ? this->stored_up_to : 0;
-  const bool may_wait = this->admitted && !has_unstored_ends && !this->incarnation_uncertain &&
+  const bool may_wait = this->admitted && this->announced && !has_unstored_ends &&
+                        !this->incarnation_uncertain &&
                         (!this->acknowledgement_due() || this->proof_age(now) <= shortest_restart);
   request.wait = may_wait && !this->runs.empty() ? this->options.poll_wait : millis{0};
   if (this->admitted && !this->incarnation_uncertain) {
@@ -200,11 +201,21 @@
   this->process_ends(report);
   this->process_running(report);
   this->close_missing(report, sent);
-  // Last, so that all that the report shows is counted before any work is placed there.
-  if (!this->announced) {
-    this->announced = true;
-    this->leader.runner_admitted(this->id, report.incarnation);
+  this->announce(report.incarnation);
+}
+
+// Called last, so that all that the report shows is counted before any work is placed there.
+// The capacity and labels of an incarnation are known when its own entry has arrived.
+void runner_session::announce(std::int64_t reported) {
+  if (this->announced) {
+    return;
+  }
+  if (reported != this->entry.incarnation) {
+    this->next_poll = this->time.now() + this->options.retry;
+    return;
   }
+  this->announced = true;
+  this->leader.runner_admitted(this->id);
 }
 
 // All runs of the previous incarnation are over, but a start command may already have
@@ -222,6 +233,7 @@
   this->acknowledged_up_to = 0;
   this->unstored_ends.clear();
   this->announced = false;
+  this->leader.runner_unresponsive(this->id);
   this->extend_expiry(this->options.runner_max_lease);
 }
 
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -28,8 +28,9 @@
 class session_events {
  public:
   virtual ~session_events() = default;
-  // The runner answered under our fencing token, so its free capacity is known now.
-  virtual void runner_admitted(const std::string& runner, std::int64_t incarnation) = 0;
+  // The incarnation of the runner's entry answered under our fencing token, so its free
+  // capacity is known now.
+  virtual void runner_admitted(const std::string& runner) = 0;
   // The runner reports a run that the session does not track. The session stops it; its
   // end or its loss is reported like that of any run. Called before runner_admitted() if
   // the report is the one that admits the runner.
@@ -103,6 +104,7 @@
   millis proof_age(instant now) const { return now - this->runner_time.alive_at(); }
   void handle_report(const poll_report& report, const poll_request& request, instant sent);
   void note_restart(const poll_report& report, const poll_request& request, instant sent);
+  void announce(std::int64_t reported);
   void process_ends(const poll_report& report);
   void process_running(const poll_report& report);
   static bool lists(const poll_report& report, const run_key& run);
--- a/src/cell/testing/runner_session_test.cc
+++ b/src/cell/testing/runner_session_test.cc
@@ -41,13 +41,13 @@
  public:
   bool admitted = false;
   std::vector<run_key> untracked_before_admission;
-  void runner_admitted(const std::string&, std::int64_t) override { this->admitted = true; }
+  void runner_admitted(const std::string&) override { this->admitted = true; }
   void untracked_run_found(const std::string&, const run_key& run) override {
     if (!this->admitted) {
       this->untracked_before_admission.push_back(run);
     }
   }
-  void runner_unresponsive(const std::string&) override {}
+  void runner_unresponsive(const std::string&) override { this->admitted = false; }
   void run_ended(const std::string&, const run_key&, run_outcome, const std::string&,
                  std::int64_t) override {}
   void run_lost(const std::string&, const run_key&, std::string_view why) override {
@@ -335,6 +335,25 @@
   CHECK(f.commands.starts.back().lease_until_ms <= f.clock() + f.options.max_lease.value);
 }
 
+TEST_CASE("A late report of the previous incarnation leaves no idle runner unused for good") {
+  session_fixture f;
+  f.report({});
+  poll_report late = f.state();
+  late.running.clear();
+  late.finished = {{1, long_task, 1, run_outcome::done, ""}};
+  f.restart_runner();
+  f.list(next_incarnation, f.clock());
+  f.commands.report(late);
+  f.session.end_stored(1);
+  f.loop.run_for(millis{1'000});
+  f.session.tick();
+  REQUIRE(!f.commands.answers.empty());
+  poll_report idle = f.state();
+  idle.running.clear();
+  f.commands.report(idle);
+  CHECK(f.leader.admitted);
+}
+
 TEST_CASE("A runner takes no work before all runs that it reports are counted") {
   session_fixture f;
   poll_report first = f.state();
