Test rig: lost answers, silent connections, cuts around a failure domain

Nearly all of the users' runs show "executed at once, the answer lost"; the rig lost a runner's answer only with a delay of 2 to 12 s or a cut. It knew no failure domains. A fake cell can now

- lose answers of a runner (lost_answers) or all answers of a runner to some daemons, while their commands arrive (unanswered);
- turn connections between daemons silent: they carry nothing further and are not reset, while new ones work (fake_frame_network::turns_silent);
- cut off a failure domain, whose daemons and runners reach each other and nobody else, neither the log (cut_off); daemons and runners are spread over domain_count domains;
- make the way to a runner slow (slow_link), and some runs long (long_rate, long_time).

--- a/src/cell/testing/fake_cell.h
+++ b/src/cell/testing/fake_cell.h
@@ -69,9 +69,11 @@
 class fake_cell {
  public:
   // `common`: the options of all daemons. Their names and addresses are filled in.
+  // `domain_count`: the failure domains among which daemons and runners are spread.
   fake_cell(int daemon_count, int runner_count, std::uint32_t seed,
-            const daemon_options& common = {})
+            const daemon_options& common = {}, int domain_count = 1)
       : common_options(common),
+        domains(domain_count),
         events(log_descriptor(), loop, "test"),
         store(loop, seed),
         random(seed) {
@@ -89,9 +91,14 @@
       this->runners.push_back(std::make_unique<fake_runner>(this->loop, this->history, this->events,
                                                             "i-" + std::to_string(i), runner_size,
                                                             seed + i));
+      this->runners.back()->entry.domain = this->domain_of(i);
       this->store.put("runners", this->runners.back()->entry.id, "1");
     }
     this->store.put("op", "config", "1");
+    this->frames.random.seed(seed);
+    this->frames.reaches = [this](const std::string& from, const std::string& to) {
+      return this->reaches(from, to);
+    };
     for (int i = 0; i < daemon_count; ++i) {
       this->nodes.push_back(std::make_unique<node>(*this, i, seed));
       this->nodes.back()->boot(*this);
@@ -117,7 +124,8 @@
           commands(cell.loop, this->process, this->name, cell.runners, seed * 31 + index),
           peers(cell, this->uplink, this->name),
           host{this->process, this->agent},
-          dialer(this->process, this->name, this->uplink, cell.isolated,
+          domain(cell.domain_of(index)),
+          dialer(this->process, this->name, this->uplink, cell.frames,
                  [&cell](const std::string& to) { return cell.agent_host(to); }),
           events(log_descriptor(), cell.loop, this->name),
           sources(cell.config, cell.runners) {}
@@ -127,6 +135,9 @@
       options.self = daemon_id(this->name);
       options.address = this->name;
       options.peer_port = 1;
+      if (cell.domains > 1) {
+        options.domain = this->domain;
+      }
       options.leader.session.max_lease = millis{6'000};
       this->agent =
           std::make_unique<runner_agent>(this->process, this->commands, cell.loop, this->events);
@@ -152,6 +163,7 @@
     fake_peers peers;
     std::unique_ptr<runner_agent> agent;
     fake_agent_host host;
+    const domain_id domain;
     fake_dialer dialer;
     event_log events;
     fake_sources sources;
@@ -159,6 +171,38 @@
     std::unique_ptr<cell_daemon> daemon;
   };
 
+  // The failure domain of the daemon or runner with this index.
+  domain_id domain_of(int index) const {
+    return this->domains == 1 ? domain_id{}
+                              : domain_id("z" + std::to_string(index % this->domains));
+  }
+  // Cuts a failure domain off: its daemons and runners reach each other and nobody else.
+  void cut_off(const domain_id& domain) {
+    this->end_cut();
+    for (const auto& n : this->nodes) {
+      if (n->domain == domain) {
+        this->store.cut_off.insert(n->name);
+      }
+      for (auto& runner : this->runners) {
+        if ((n->domain == domain) != (runner->entry.domain == domain)) {
+          runner->cut_off.insert(n->name);
+        }
+      }
+    }
+  }
+  void end_cut() {
+    this->store.cut_off.clear();
+    for (auto& runner : this->runners) {
+      runner->cut_off.clear();
+    }
+  }
+  // True if what a daemon sends to another one arrives.
+  bool reaches(const std::string& from, const std::string& to) const {
+    const std::set<std::string>& cut = this->store.cut_off;
+    return !this->isolated.contains(from) && !this->isolated.contains(to) &&
+           cut.contains(from) == cut.contains(to);
+  }
+
   // Adds a queue for a team that may use `team_limit`. Call before the daemons have read the
   // configuration.
   void add_limited_team() {
@@ -288,6 +332,8 @@
   static constexpr resources runner_size{millicores{4'000}, mebibytes{4'000}, devices{0}};
 
   const daemon_options common_options;
+  const int domains;
+  fake_frame_network frames;
   fake_loop loop;
   event_log events;
   fake_store store;
@@ -306,7 +352,7 @@
   constexpr millis network_delay{1};
   const bool lost =
       std::uniform_real_distribution<double>(0, 1)(this->cell.random) < this->cell.lost_datagrams;
-  if (lost || this->cell.isolated.contains(this->self) || this->cell.isolated.contains(to.host)) {
+  if (lost || !this->cell.reaches(this->self, to.host)) {
     return;
   }
   for (auto& node : this->cell.nodes) {
--- a/src/cell/testing/fake_frames.h
+++ b/src/cell/testing/fake_frames.h
@@ -4,7 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
+#include <random>
 #include <string>
 #include <utility>
 
@@ -43,24 +43,33 @@
   std::map<std::int64_t, std::function<void()>> arrived;
 };
 
-// Connections from one fake process to the agents of others. Frames from and to an isolated
-// process are lost without an error, as in a network partition.
+// The network between daemons, for frames.
+struct fake_frame_network {
+  // False while what one of the two sends is lost without an error, as in a partition.
+  std::function<bool(const std::string& from, const std::string& to)> reaches;
+  // Fraction of frames with which their connection turns silent: it carries nothing further
+  // in either direction and is not reset, while new connections work.
+  double turns_silent = 0;
+  std::mt19937 random;
+};
+
+// Connections from one fake process to the agents of others.
 class fake_dialer final : public frame_dialer {
  public:
   using find_host = std::function<fake_agent_host*(const std::string& host)>;
 
   fake_dialer(fake_process& process, std::string self, fake_uplink& uplink,
-              std::set<std::string>& isolated, find_host find)
+              fake_frame_network& network, find_host find)
       : process(process),
         self(std::move(self)),
         uplink(uplink),
-        isolated(isolated),
+        network(network),
         find(std::move(find)) {}
 
   std::unique_ptr<frame_link> dial(const peer_address& to, frame_handlers on) override {
     fake_agent_host* const host = this->find(to.host);
     auto shared = std::make_shared<connection>(connection{
-        this->process, *host, this->uplink, this->isolated, this->self, to.host, std::move(on)});
+        this->process, *host, this->uplink, this->network, this->self, to.host, std::move(on)});
     shared->number = next_number()++;
     shared->answers.shared = shared.get();
     shared->incarnations = {this->process.current_incarnation(),
@@ -83,7 +92,7 @@
     connection* shared = nullptr;
     void send(std::string frame) override {
       connection& c = *this->shared;
-      if (c.partitioned()) {
+      if (c.loses_frame()) {
         return;
       }
       c.from.after(network_delay,
@@ -104,7 +113,7 @@
     fake_process& from;
     fake_agent_host& to;
     fake_uplink& uplink;  // Of the process that opened the connection.
-    std::set<std::string>& isolated;
+    fake_frame_network& network;
     std::string from_name;
     std::string to_name;
     frame_handlers on;
@@ -116,6 +125,7 @@
     ordered_delivery to_leader{};
     bool open = true;
     bool announced = false;
+    bool silent = false;
 
     // A frame is at the agent.
     void deliver(const std::string& frame) {
@@ -128,8 +138,12 @@
       // Frames that were sent before the leader closed the connection still arrive.
       (void)this->to.agent->received(this->number, frame);
     }
-    bool partitioned() const {
-      return this->isolated.contains(this->from_name) || this->isolated.contains(this->to_name);
+    // True if the next frame is lost.
+    bool loses_frame() {
+      const double rate = this->network.turns_silent;
+      this->silent = this->silent || (rate > 0 && std::uniform_real_distribution<double>(
+                                                      0, 1)(this->network.random) < rate);
+      return this->silent || !this->network.reaches(this->from_name, this->to_name);
     }
   };
 
@@ -152,7 +166,7 @@
     }
     void send(std::string frame) override {
       const auto s = this->shared;
-      if (s->partitioned()) {
+      if (s->loses_frame()) {
         return;
       }
       if (!s->to.agent || s->to.process.current_incarnation() != s->incarnations.second) {
@@ -174,7 +188,7 @@
   fake_process& process;
   const std::string self;
   fake_uplink& uplink;
-  std::set<std::string>& isolated;
+  fake_frame_network& network;
   const find_host find;
 };
 
--- a/src/cell/testing/fake_runners.h
+++ b/src/cell/testing/fake_runners.h
@@ -38,6 +38,10 @@
   runner_entry entry;
   bool up = true;
   std::set<std::string> partitioned;  // Daemons that cannot reach it.
+  std::set<std::string> cut_off;      // Daemons beyond the cut around a failure domain.
+  std::set<std::string> unanswered;   // Daemons whose commands arrive, but get no answer.
+  double lost_answers = 0;            // Fraction of calls executed at once, unanswered.
+  millis slow_link{0};                // Calls and answers take up to so much longer.
   double late_commands = 0;           // Fraction of commands executed seconds later, unanswered.
   double clock_rate = 1.0;            // 0.98: 2% slow.
   millis task_time{800};
@@ -45,6 +49,12 @@
   std::optional<millis> gang_time;
   millis stop_time{100};
   double failure_rate = 0;  // Fraction of runs that end as failed.
+  double long_rate = 0;     // Fraction of runs that take `long_time`.
+  millis long_time{60'000};
+
+  bool reachable(const std::string& daemon) const {
+    return !this->partitioned.contains(daemon) && !this->cut_off.contains(daemon);
+  }
 
   std::int64_t clock() const {
     return static_cast<std::int64_t>(
@@ -172,16 +182,25 @@
     this->until = std::max(this->until, std::min(lease_until_ms, this->clock() + max_lease));
   }
 
+  bool chance(double rate) {
+    return std::uniform_real_distribution<double>(0, 1)(this->random) < rate;
+  }
+
+  millis run_time(const std::string& task) {
+    if (this->history.in_gang(task)) {
+      return this->gang_time.value_or(this->task_time);
+    }
+    const bool is_long = this->long_rate > 0 && this->chance(this->long_rate);
+    return is_long ? this->long_time : this->task_time;
+  }
+
   void begin(const start_command& command) {
     this->log_event("runner_starts", command.task, command.run);
     this->history.begin(this->loop.now(), this->entry, command.task, command.run);
     run_state run;
     run.run = command.run;
-    const bool in_gang = this->history.in_gang(command.task);
-    run.ends =
-        this->loop.now() + (in_gang ? this->gang_time.value_or(this->task_time) : this->task_time);
-    const bool fails =
-        std::uniform_real_distribution<double>(0, 1)(this->random) < this->failure_rate;
+    run.ends = this->loop.now() + this->run_time(command.task);
+    const bool fails = this->chance(this->failure_rate);
     run.how = fails ? run_outcome::failed : run_outcome::done;
     this->runs[command.task] = run;
   }
@@ -317,23 +336,37 @@
     };
     this->process.after(timeout, [settle, no_answer] { settle(no_answer); });
     fake_runner* const runner = this->find(target.address);
-    if (runner == nullptr || (!runner->up && !runner->partitioned.contains(this->daemon))) {
+    if (runner == nullptr || (!runner->up && runner->reachable(this->daemon))) {
       this->process.after(latency, [settle, refused] { settle(refused); });
       return;
     }
-    this->loop.after(latency, [this, runner, settle, serve, incarnation] {
-      if (!runner->up || runner->partitioned.contains(this->daemon)) {
+    this->loop.after(latency + this->delay(*runner), [this, runner, settle, serve, incarnation] {
+      if (!runner->up || !runner->reachable(this->daemon)) {
         return;
       }
-      serve(*runner, [this, runner, settle, incarnation](const Answer& value) {
-        if (!runner->partitioned.contains(this->daemon) &&
+      const bool lost = this->loses_answer(*runner);
+      serve(*runner, [this, runner, settle, incarnation, lost](const Answer& value) {
+        if (!lost && runner->reachable(this->daemon) &&
             this->process.current_incarnation() == incarnation) {
-          this->process.after(latency, [settle, value] { settle(value); });
+          this->process.after(latency + this->delay(*runner), [settle, value] { settle(value); });
         }
       });
     });
   }
 
+  millis delay(const fake_runner& runner) {
+    if (runner.slow_link == millis{0}) {
+      return millis{0};
+    }
+    return millis{static_cast<std::int64_t>(this->random() % runner.slow_link.value)};
+  }
+  // True if the call that arrives now is executed, but its connection gives nothing further.
+  bool loses_answer(const fake_runner& runner) {
+    return runner.unanswered.contains(this->daemon) ||
+           (runner.lost_answers > 0 &&
+            std::uniform_real_distribution<double>(0, 1)(this->random) < runner.lost_answers);
+  }
+
   template <class Answer>
   void wait_for_end(fake_runner& r, const poll_request& request, instant until,
                     const Answer& answer) {
--- a/src/cell/testing/fake_store.h
+++ b/src/cell/testing/fake_store.h
@@ -25,6 +25,7 @@
   double lost_answers = 0;  // Fraction of appends that are executed but not answered.
   double late_appends = 0;  // Fraction of appends that are executed seconds later and not answered.
   std::set<std::string> partitioned;   // Daemons whose calls and answers are lost.
+  std::set<std::string> cut_off;       // Daemons of a failure domain that is cut off.
   std::map<std::string, int> appends;  // Number of append calls, by daemon.
 
   // Epoch of the newest leader claim; each takeover increments it.
@@ -99,6 +100,9 @@
     std::deque<std::pair<std::pair<std::int64_t, std::int64_t>, append_answer>> recent;
   };
 
+  bool serves(const std::string& daemon) const {
+    return !this->down && !this->partitioned.contains(daemon) && !this->cut_off.contains(daemon);
+  }
   bool chance(double fraction) {
     return fraction > 0 && std::uniform_real_distribution<double>(0, 1)(this->random) < fraction;
   }
@@ -116,8 +120,7 @@
     });
     const std::function<void(Answer)> answer = [this, from, open, on_answer, &process,
                                                 incarnation](Answer value) {
-      if (this->down || this->partitioned.contains(from) ||
-          process.current_incarnation() != incarnation) {
+      if (!this->serves(from) || process.current_incarnation() != incarnation) {
         return;
       }
       process.after(this->latency, [open, on_answer, value] {
@@ -127,7 +130,7 @@
       });
     };
     this->loop.after(this->latency, [this, from, serve, answer] {
-      if (!this->down && !this->partitioned.contains(from)) {
+      if (this->serves(from)) {
         serve(answer);
       }
     });
