Cell tests of two worktrees do not fail for want of one port

Seen once: cell_test of the sanitizer build failed in four tests of real connections, "cannot listen on TCP 127.0.0.1:17391: Address already in use", while test programs of other worktrees ran on the same machine. All of them used this one port. The port now depends on the process. Not a fault of the product.

Evidence: these tests in two processes at the same time: both passed.

--- a/src/cell/testing/agent_test.cc
+++ b/src/cell/testing/agent_test.cc
@@ -1,6 +1,8 @@
 // Commands that are sent through agents: what a leader's sessions observe when agents crash,
 // freeze or are late, and frames over real connections.
 
+#include <unistd.h>
+
 #include <asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
@@ -215,7 +217,8 @@
 
 // The agent pool of a leader and an agent in one event loop, over a real connection.
 struct tcp_pair {
-  static constexpr std::uint16_t agent_port = 17'391;
+  // Test programs that run at the same time use ports of their own.
+  static inline const auto agent_port = static_cast<std::uint16_t>(17'391 + ::getpid() % 4'000);
   asio::io_context io{1};
   asio_loop loop{io};
   system_clock time;
