--- a/src/cell/testing/random_fault_test.cc
+++ b/src/cell/testing/random_fault_test.cc
@@ -113,7 +113,9 @@
     return *cell.nodes[random() % cell.nodes.size()];
   };
   for (int tick = 0; tick < 60; ++tick) {
-    submit_some(cell, static_cast<int>(random() % 3), tick, 1 + static_cast<int>(random() % 4));
+    const auto at = static_cast<int>(random() % 3);
+    const auto tasks = 1 + static_cast<int>(random() % 4);
+    submit_some(cell, at, tick, tasks);
     fake_runner& runner = *cell.runners[random() % cell.runners.size()];
     switch (random() % 16) {
       case 0:
@@ -223,6 +225,7 @@
   fake_cell cell(daemons, runners, seed, with_agents ? through_agents() : daemon_options{},
                  domains);
   cell.add_limited_team();
+  vary_runners(cell, seed);
   cell.loop.run_for(boot_time);
   cell.history.limits[limited_prefix] = tasks_in_limit;
   cell.history.gangs[gang_prefix] = gang_size;
@@ -234,8 +237,9 @@
   constexpr int ticks = 160;  // 40 s.
   for (int tick = 0; tick < ticks; ++tick) {
     if (cell.random() % submit_every == 0) {
-      submit_some(cell, static_cast<int>(cell.random() % daemons), tick,
-                  1 + static_cast<int>(cell.random() % 4));
+      const auto daemon = static_cast<int>(cell.random() % daemons);
+      const auto tasks = 1 + static_cast<int>(cell.random() % 4);
+      submit_some(cell, daemon, tick, tasks);
     }
     if (cell.random() % fault_every == 0) {
       faults.inject();
