An answer that ends inside its head is no answer

An append so answered counted as stored, with 0 as the topic's end (read in the code, not played): a job could be accepted and lost.

The transport now asks for the empty line after the headers; without it the request may have run.

--- a/src/async/http_transport.cc
+++ b/src/async/http_transport.cc
@@ -42,6 +42,7 @@
   client_answer answer;
   reply<client_answer> on_answer;
   std::unique_ptr<curl_slist, slist_deleter> headers;
+  bool head_complete = false;  // The empty line after the answer's headers was received.
 };
 
 std::size_t on_body(char* data, std::size_t size, std::size_t count, void* user) {
@@ -59,6 +60,11 @@
   while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
     line.remove_suffix(1);
   }
+  if (line.empty()) {
+    e->head_complete = true;
+  } else if (line.starts_with("HTTP/")) {
+    e->head_complete = false;  // A final answer follows an interim one.
+  }
   const std::size_t colon = line.find(':');
   if (colon != std::string_view::npos) {
     const std::size_t value = line.find_first_not_of(' ', colon + 1);
@@ -222,14 +228,16 @@
     this->recycle_handle(e->handle);
     this->exchanges.erase(e);
     std::unique_ptr<exchange> done(e);
-    if (code == CURLE_OK) {
+    // curl takes an answer that ends inside its head for a complete one.
+    if (code == CURLE_OK && done->head_complete) {
       done->answer.status = static_cast<int>(status);
       asio::post(this->io,
                  [on_answer = std::move(done->on_answer),
                   answer = std::move(done->answer)]() mutable { on_answer(std::move(answer)); });
       return;
     }
-    const std::string detail = curl_easy_strerror(code);
+    const std::string detail =
+        code == CURLE_OK ? "the answer ended inside its head" : curl_easy_strerror(code);
     const error_code reason = code == CURLE_OPERATION_TIMEDOUT ? error_code::deadline_exceeded
                                                                : error_code::connection_lost;
     failure f =
--- a/src/async/testing/http_transport_test.cc
+++ b/src/async/testing/http_transport_test.cc
@@ -182,9 +182,7 @@
   }
 }
 
-// Fails: curl reports the status of such an answer, with an empty body, as a complete one. See
-// KNOWN-RED.txt.
-TEST_CASE("An answer that ends inside its head is not a complete answer", "[.][known-red]") {
+TEST_CASE("An answer that ends inside its head is not a complete answer") {
   transport_fixture fixture({0, failing::close_inside_head, false});
   const result<client_answer>& last = fixture.wait_for(fixture.send());
   REQUIRE(last.has_error());
