A poll that acknowledges ends does not wait for others

A runner restarts within 9 ms on a slow link, so a poll meant for its previous incarnation, which acknowledges 30 ends and waits, waits at the next one; that one's first end is below 30 and is forgotten unseen.

Until now one poll did both if the incarnation was known to run 250 ms before, on the assumption that no runner restarts faster. Now a poll that acknowledges never waits, and a poll that waits acknowledges nothing, so an acknowledgement does harm only if it meets an incarnation in which a run has ended already, within 600 ms of the proof of the previous one plus its own way.

Cost: two polls for an end.

"A poll that acknowledges ends does not wait for others at a restarted runner" fails on the code before.

--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -10,13 +10,10 @@
 
 // Allows for a command that the runner was executing when the end of its lease passed.
 constexpr millis expiry_margin{300};
-// Assumption: a runner that restarts needs at least this long from its last answer until it
-// executes commands again. The ends of a restarted runner are numbered from the beginning,
-// so it must not receive an acknowledgement meant for its previous incarnation.
-constexpr millis shortest_restart{250};
 // Assumption: a runner that restarts needs at least this long from its last answer until a
-// run has ended there. An acknowledgement that reaches it earlier does no harm, unless it
-// waits there for an end.
+// run has ended there. The ends of a restarted runner are numbered from the beginning, so it
+// must not receive an acknowledgement meant for its previous incarnation later than that. A
+// poll that acknowledges does not wait for ends, since it might wait at the next incarnation.
 constexpr millis shortest_restart_and_run{600};
 // A lease is renewed at the latest this long after the last poll.
 constexpr millis renew_after{1'500};
@@ -137,8 +134,7 @@
                                this->proof_age(now) <= shortest_restart_and_run;
   request.acked_up_to = may_acknowledge ? this->stored_up_to : 0;
   const bool may_wait = this->admitted && this->announced && !has_unstored_ends &&
-                        !this->incarnation_uncertain &&
-                        (!this->acknowledgement_due() || this->proof_age(now) <= shortest_restart);
+                        !this->incarnation_uncertain && !this->acknowledgement_due();
   request.wait = may_wait && !this->runs.empty() ? this->options.poll_wait : millis{0};
   if (this->admitted && !this->incarnation_uncertain) {
     request.lease_until_ms = this->lease_until();
