A leader starts nothing later than 1.5 s after its last renewal

A leader freezes while a start's record is on its way into the log, or before it repeats a start. Its successor has the task done and acknowledged; then the runner restarts and forgets run and token. The leader wakes within its command window of 3.5 s, sends the start before it has read that it was succeeded, and the runner executes it.

What protects in other cases, the token and the runner's memory of ended runs, is lost in a restart. So starts have a window of their own, shorter than a takeover with what must follow: 1.5 s. It is not exact: a takeover, the run, its acknowledgement and the restart can together be shorter.

--- a/src/cell/cell_daemon.cc
+++ b/src/cell/cell_daemon.cc
@@ -172,6 +172,7 @@
       services, this->options.self, this->own_epoch, this->election.previous_commands_until(),
       this->options.leader,
       leader_handlers{[this] { return this->election.may_command(); },
+                      [this] { return this->election.may_start(); },
                       [this](const std::string& why) {
                         this->io.post([this, why, a = this->alive] {
                           if (*a) {
--- a/src/cell/command_gate.cc
+++ b/src/cell/command_gate.cc
@@ -5,13 +5,15 @@
 namespace monsoonmux::cell {
 
 command_gate::command_gate(event_loop& loop, runner_port& port, const clock& now, event_log& out,
-                           metric_registry& registry, std::function<bool()> window_open)
+                           metric_registry& registry, std::function<bool()> window_open,
+                           std::function<bool()> starts_allowed)
     : io(loop),
       next(port),
       time(now),
       events(out),
       metrics(registry),
-      may_command(std::move(window_open)) {}
+      may_command(std::move(window_open)),
+      may_start(std::move(starts_allowed)) {}
 
 bool command_gate::is_open() {
   const bool open = this->may_command();
@@ -39,7 +41,7 @@
 
 void command_gate::start(const start_command& command,
                          std::function<void(command_answer)> on_answer) {
-  if (this->is_open()) {
+  if (this->passes_starts()) {
     this->next.start(command, std::move(on_answer));
     return;
   }
--- a/src/cell/command_gate.h
+++ b/src/cell/command_gate.h
@@ -20,9 +20,10 @@
 // window carries the end of its lease, so it may wait or be executed later without harm.
 class command_gate final : public runner_port {
  public:
-  // `may_command`: true while commands may be sent.
+  // `may_command`: true while commands may be sent. `may_start`: true while starts may be.
   command_gate(event_loop& io, runner_port& next, const clock& time, event_log& events,
-               metric_registry& metrics, std::function<bool()> may_command);
+               metric_registry& metrics, std::function<bool()> may_command,
+               std::function<bool()> may_start);
   command_gate(const command_gate&) = delete;
   command_gate& operator=(const command_gate&) = delete;
 
@@ -33,6 +34,8 @@
   // True while commands pass. Logs once when the window has ended, and once when a renewal
   // of the claim has opened it again.
   bool is_open();
+  // True while starts pass.
+  bool passes_starts() { return this->is_open() && this->may_start(); }
 
  private:
   void withhold();
@@ -43,6 +46,7 @@
   event_log& events;
   metric_registry& metrics;
   const std::function<bool()> may_command;
+  const std::function<bool()> may_start;
   bool was_open = true;
   instant closed_at{0};                 // When the end of the window was noticed.
   std::int64_t withheld_in_window = 0;  // Commands since then.
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -72,7 +72,8 @@
                  }),
       agents(given.io, given.runners, given.dialer, given.time, given.events, given.metrics,
              settings.agents),
-      gate(given.io, this->agents, given.time, given.events, given.metrics, this->on.may_command),
+      gate(given.io, this->agents, given.time, given.events, given.metrics, this->on.may_command,
+           this->on.may_start),
       plan_timer(given.io),
       ticker(given.io) {
   this->inherited_until =
@@ -345,7 +346,7 @@
     const run_key run{p.task, p.run};
     const bool still_current = task != nullptr && task->phase == task_phase::placed &&
                                task->run == p.run && !is_final(it->second.phase()) &&
-                               this->gate.is_open();
+                               this->gate.passes_starts();
     if (!still_current) {
       this->run_lost(p.runner, run, "no_longer_wanted");
       continue;
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -59,6 +59,8 @@
   // True while commands may be sent to runners. The leader asks this only through its
   // command_gate.
   std::function<bool()> may_command;
+  // True while starts may be sent to runners.
+  std::function<bool()> may_start;
   // Called when a later epoch has begun, so that this leader must stop.
   std::function<void(const std::string& why)> on_epoch_over;
   // Called for each record of the leader as soon as it is in the log.
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -34,6 +34,9 @@
   // A leader sends no commands later than this after its last renewal. Its successor
   // relies on this for runners that it cannot reach.
   millis command_window{3'500};
+  // A leader starts nothing later than this after its last renewal. It is shorter, since a
+  // runner that has restarted would execute a start again that a successor knows to be done.
+  millis start_window{1'500};
 };
 
 // Leader election through the shared log: the leader is the daemon whose claim is the
@@ -66,6 +69,8 @@
   bool leads() const { return this->is_leader; }
   // True while commands may still be sent to runners under this claim.
   bool may_command() const;
+  // True while starts may be sent to runners under this claim.
+  bool may_start() const { return this->renewed_within(this->options.start_window); }
   // No previous leader sends commands after this time. Set when leadership is gained.
   instant previous_commands_until() const { return this->previous_until; }
   // A heartbeat of the leader of this epoch, which is alive and reaches the log.
--- a/src/cell/testing/command_gate_test.cc
+++ b/src/cell/testing/command_gate_test.cc
@@ -64,7 +64,14 @@
   metric_registry metrics;
   counted_commands sent;
   std::vector<command_status> answers;
-  command_gate gate{loop, sent, loop, events, metrics, [this] { return this->open; }};
+  bool starts_allowed = true;
+  command_gate gate{loop,
+                    sent,
+                    loop,
+                    events,
+                    metrics,
+                    [this] { return this->open; },
+                    [this] { return this->starts_allowed; }};
 };
 
 TEST_CASE("No start, stop or poll passes the gate after the end of the command window") {
@@ -80,6 +87,17 @@
   CHECK(f.metrics.counts_of("commands_withheld")["commands_withheld"] == 3);
 }
 
+TEST_CASE("Only starts are withheld between the end of the start window and the command window") {
+  gate_fixture f;
+  f.starts_allowed = false;
+  f.send_all();
+  f.loop.run_for(millis{1});
+  CHECK(f.sent.starts == 0);
+  CHECK(f.sent.stops == 1);
+  CHECK(f.sent.polls == 1);
+  CHECK(f.answers == std::vector<command_status>{command_status::not_sent});
+}
+
 TEST_CASE("A withheld command is not answered from inside the call that sent it") {
   gate_fixture f;
   f.open = false;
--- a/src/cell/testing/command_window_model_test.cc
+++ b/src/cell/testing/command_window_model_test.cc
@@ -200,8 +200,9 @@
         process(world.loop),
         log(world, this->process, index),
         runner(world, index, this->at),
-        gate(this->process, this->runner, world.loop, this->events, this->metrics,
-             [this] { return this->may_poll(); }),
+        gate(
+            this->process, this->runner, world.loop, this->events, this->metrics,
+            [this] { return this->may_poll(); }, [] { return false; }),
         election(this->process, this->log, world.loop, this->events, options_of(index),
                  {[this](epoch gained) { this->gained(gained); }, [](const std::string&) {},
                   [] { return true; }, [] { return millis{0}; }}) {}
--- a/src/cell/testing/command_window_test.cc
+++ b/src/cell/testing/command_window_test.cc
@@ -125,6 +125,37 @@
   }
 }
 
+TEST_CASE("A leader that wakes late starts nothing at a runner that has restarted meanwhile") {
+  const std::string task = job_name(0) + ".0.0.0";
+  for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+    INFO("seed " << seed);
+    fake_cell cell(3, 1, seed);
+    cell.loop.run_for(cut_fixture::settle_time);
+    fake_runner& runner = *cell.runners[0];
+    runner.task_time = millis{300};
+    const int leader = cell.leader();
+    REQUIRE(leader >= 0);
+    cell.submit(leader, job_name(0), fake_cell::simple_job(1));
+    // The start's record is on its way into the log.
+    cell.loop.run_for(millis{8});
+    REQUIRE(cell.history.starts == 0);
+    cell.nodes[static_cast<std::size_t>(leader)]->process.freeze_until(cell.loop.now() +
+                                                                       millis{2'800});
+    cell.loop.run_for(millis{1'400});
+    REQUIRE(cell.history.done.contains(task));
+    // While this runs the successor polls, which acknowledges the first end.
+    runner.task_time = long_task_time;
+    cell.submit((leader + 1) % 3, job_name(1), fake_cell::simple_job(1));
+    cell.loop.run_for(millis{1'300});
+    REQUIRE(cell.history.done_acked.contains(task));
+    runner.crash();
+    cell.loop.run_for(millis{40});
+    runner.restart();
+    cell.loop.run_for(millis{5'000});
+    check_history(cell);
+  }
+}
+
 TEST_CASE("After a log outage longer than the command window the leader keeps its runs") {
   for (const bool agents : {false, true}) {
     for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
