A successor waits for the lease that a runner grants by its own maximum

A command's lease ends at a time on the runner's clock. A runner that restarted unseen takes a time of its previous clock for far in the future and grants its own maximum, 10 s at most sites, from the execution on. An idle runner is not polled, so no lost message is needed.

The fake runners granted 6 s at most, which hid it; they grant what the daemons are told they do now.

The same within one leader, when the start's repeat is executed unseen and its answer is lost too, is red still: KNOWN-RED.

--- a/src/cell/testing/fake_cell.h
+++ b/src/cell/testing/fake_cell.h
@@ -68,10 +68,17 @@
 // holds the log, with injected faults.
 class fake_cell {
  public:
+  // Options of daemons whose runners grant no longer leases than commands ask for.
+  static daemon_options short_leases() {
+    daemon_options out;
+    out.leader.session.runner_max_lease = max_lease;
+    return out;
+  }
+
   // `common`: the options of all daemons. Their names and addresses are filled in.
   // `domain_count`: the failure domains among which daemons and runners are spread.
   fake_cell(int daemon_count, int runner_count, std::uint32_t seed,
-            const daemon_options& common = {}, int domain_count = 1)
+            const daemon_options& common = short_leases(), int domain_count = 1)
       : common_options(common),
         domains(domain_count),
         events(log_descriptor(), loop, "test"),
@@ -92,6 +99,7 @@
                                                             "i-" + std::to_string(i), runner_size,
                                                             seed + i));
       this->runners.back()->entry.domain = this->domain_of(i);
+      this->runners.back()->max_lease = common.leader.session.runner_max_lease;
       this->store.put("runners", this->runners.back()->entry.id, "1");
     }
     this->store.put("op", "config", "1");
@@ -138,7 +146,7 @@
       if (cell.domains > 1) {
         options.domain = this->domain;
       }
-      options.leader.session.max_lease = millis{6'000};
+      options.leader.session.max_lease = max_lease;
       this->agent =
           std::make_unique<runner_agent>(this->process, this->commands, cell.loop, this->events);
       this->daemon =
@@ -326,6 +334,7 @@
   static int log_descriptor() {
     return std::getenv("MONSOONMUX_ONLY_SEED") != nullptr ? 1 : ::open("/dev/null", O_WRONLY);
   }
+  static constexpr millis max_lease{6'000};  // That commands ask for.
   static constexpr const char* second_path = "/second/";
   static constexpr const char* team_key = "key of t";
   static constexpr millicores team_limit{3'000};  // Of the limited team.
--- a/src/cell/testing/fake_runners.h
+++ b/src/cell/testing/fake_runners.h
@@ -48,6 +48,7 @@
   // The same for members of a gang, which end together wherever they run.
   std::optional<millis> gang_time;
   millis stop_time{100};
+  millis max_lease{6'000};  // The longest that it grants, from the execution of a command.
   double failure_rate = 0;  // Fraction of runs that end as failed.
   double long_rate = 0;     // Fraction of runs that take `long_time`.
   millis long_time{60'000};
@@ -178,8 +179,8 @@
   }
 
   void extend(std::int64_t lease_until_ms) {
-    constexpr std::int64_t max_lease = 6'000;
-    this->until = std::max(this->until, std::min(lease_until_ms, this->clock() + max_lease));
+    this->until =
+        std::max(this->until, std::min(lease_until_ms, this->clock() + this->max_lease.value));
   }
 
   bool chance(double rate) {
--- a/src/cell/testing/runner_restart_test.cc
+++ b/src/cell/testing/runner_restart_test.cc
@@ -54,5 +54,89 @@
   check_history(cell);
 }
 
+// Two runners that grant 10 s although commands ask for 6 s. The task can run on the second
+// one, but prefers the first.
+struct long_lease_fixture {
+  explicit long_lease_fixture(std::uint32_t seed) : cell(3, 2, seed, daemon_options{}) {
+    this->cell.runners[1]->entry.labels = {"a", "r2"};
+    this->cell.runners[1]->entry.rack = "r2";
+    for (auto& r : this->cell.runners) {
+      r->task_time = millis{60'000};
+      r->clock_rate = 0.98;
+    }
+    this->cell.loop.run_for(millis{20'000 + seed * 13});
+    this->leader = this->cell.leader();
+    REQUIRE(this->leader >= 0);
+  }
+  void submit() {
+    job_spec spec = fake_cell::simple_job(1);
+    spec.steps[0].affinity_rack = "r1";
+    this->cell.submit(this->leader, job_name(0), spec);
+  }
+  void await_start() {
+    constexpr int longest_ms = 3'000;
+    for (int i = 0; i < longest_ms && this->cell.history.starts == 0; ++i) {
+      this->cell.loop.run_for(millis{1});
+    }
+    REQUIRE(this->cell.history.starts == 1);
+  }
+  fake_runner& runner() { return *this->cell.runners[0]; }
+  std::string leader_name() const {
+    return this->cell.nodes[static_cast<std::size_t>(this->leader)]->name;
+  }
+  void check_started_once_more() {
+    this->cell.loop.run_for(millis{30'000});
+    CHECK(this->cell.history.starts == 2);
+    check_history(this->cell);
+  }
+
+  fake_cell cell;
+  int leader = -1;
+};
+
+TEST_CASE(
+    "A successor waits for the lease that a restarted runner has granted by its own maximum") {
+  for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    long_lease_fixture f(seed);
+    f.runner().crash();
+    f.cell.loop.run_for(millis{300});
+    f.runner().restart();  // It is idle, so nobody hears of its restart.
+    f.submit();
+    f.await_start();
+    for (auto& n : f.cell.nodes) {
+      if (n->name == f.leader_name()) {
+        f.cell.runners[1]->partitioned.insert(n->name);
+      } else {
+        f.runner().partitioned.insert(n->name);
+      }
+    }
+    f.cell.store.partitioned.insert(f.leader_name());
+    f.cell.isolated.insert(f.leader_name());
+    f.check_started_once_more();
+  }
+}
+
+TEST_CASE("A run of an incarnation that nobody has heard of keeps its lease", "[.][known-red]") {
+  long_lease_fixture f(11);
+  f.submit();
+  const fake_cell::node& node = *f.cell.nodes[static_cast<std::size_t>(f.leader)];
+  while (node.metrics.counts_of("starts_sent")["starts_sent"] == 0) {
+    f.cell.loop.run_for(millis{1});
+  }
+  REQUIRE(f.cell.history.starts == 0);
+  f.runner().crash();
+  for (auto& n : f.cell.nodes) {
+    f.runner().unanswered.insert(n->name);
+  }
+  f.cell.loop.run_for(millis{250});
+  f.runner().restart();
+  f.await_start();  // The start is repeated, and its answer is lost.
+  for (auto& n : f.cell.nodes) {
+    f.runner().partitioned.insert(n->name);
+  }
+  f.check_started_once_more();
+}
+
 }  // namespace
 }  // namespace monsoonmux::cell
