A start is not repeated once the runner's entry shows a restart

The session compared the incarnation placed on with that of the last report only. While a poll waits for its time-out, the new entry is the first to show a restart, and starts without an answer were repeated to the new incarnation.

The test of an old entry's clock lists the right entry again before it starts, since nothing is sent otherwise now.

--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -339,7 +339,7 @@
 
 void runner_session::send_start(const run_key& run) {
   tracked_run& tracked = this->runs.at(run);
-  if (!this->may_run(tracked.placed_on)) {
+  if (!this->is_present(tracked.placed_on)) {
     this->start_refused(run, tracked, "runner_restarted");
     return;
   }
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -77,10 +77,6 @@
   bool has_runs() const { return !this->runs.empty(); }
   // True if, as far as known, the present incarnation has answered under our token.
   bool is_announced() const { return this->announced; }
-  // True unless the runner's last report was of another incarnation.
-  bool may_run(std::int64_t other) const {
-    return this->incarnation == 0 || this->incarnation == other;
-  }
 
  private:
   struct tracked_run {
@@ -119,6 +115,10 @@
   // A command of ours was executed now or before, and may have extended leases by this.
   void extend_expiry(millis lease);
   std::int64_t lease_until() const;
+  // True if neither the last report nor the entry is of another incarnation than this one.
+  bool is_present(std::int64_t placed_on) const {
+    return this->incarnation == placed_on && this->entry.incarnation == placed_on;
+  }
   command_target target() const;
   bool reachable() const { return !this->entry.address.empty(); }
 
--- a/src/cell/testing/runner_session_test.cc
+++ b/src/cell/testing/runner_session_test.cc
@@ -345,7 +345,10 @@
   f.report({});
   constexpr std::int64_t earlier_incarnation = 3;
   f.list(earlier_incarnation, 900'000);
+  f.list(first_incarnation, f.clock());
+  f.report({});
   f.start("job.0.0.5");
+  REQUIRE(!f.commands.starts.empty());
   CHECK(f.commands.starts.back().lease_until_ms <= f.clock() + f.options.max_lease.value);
 }
 
@@ -368,6 +371,45 @@
   CHECK(f.leader.admitted);
 }
 
+TEST_CASE("A start is not sent again once the runner's entry shows a restart") {
+  session_fixture f;
+  f.report({});
+  f.loop.run_for(millis{2'000});
+  f.session.tick();
+  f.start("job.0.0.5");
+  f.restart_runner();
+  f.loop.run_for(millis{100});
+  f.commands.start_answers.back()({command_status::unknown, {}});
+  f.list(next_incarnation, f.clock());
+  f.loop.run_for(f.options.retry);
+  f.session.tick();
+  CHECK(f.commands.starts.size() == 1);
+}
+
+TEST_CASE("Ends are acknowledged although each answer takes 650 ms to come back",
+          "[.][known-red]") {
+  session_fixture f;
+  f.report({end_of(1)});
+  f.session.end_stored(1);
+  f.loop.run_for(millis{2'000});
+  std::int64_t acked = 0;
+  constexpr int rounds = 100;
+  for (int i = 0; i < rounds && acked < 2; ++i) {
+    f.session.tick();
+    if (f.commands.answers.empty()) {
+      f.loop.run_for(millis{50});
+      continue;
+    }
+    acked = std::max(acked, f.last_poll().acked_up_to);
+    f.listed = {end_of(2)};
+    const poll_report slow = f.state();
+    f.loop.run_for(millis{650});
+    f.commands.report(slow);
+    f.session.end_stored(2);
+  }
+  CHECK(acked == 2);
+}
+
 TEST_CASE("A runner takes no work before all runs that it reports are counted") {
   session_fixture f;
   poll_report first = f.state();
