--- /dev/null
+++ b/src/cell/runner_session_commands.cc
@@ -0,0 +1,134 @@
+// The start and stop commands of a session, their answers and repeats.
+
+#include "cell/runner_session.h"
+
+namespace monsoonmux::cell {
+
+void runner_session::start(const run_key& run, std::string payload, std::string ticket,
+                           std::string checkpoint) {
+  tracked_run& tracked = this->runs[run];
+  tracked.command.task = run.task.text();
+  tracked.command.run = run.run;
+  tracked.command.payload = std::move(payload);
+  tracked.command.ticket = std::move(ticket);
+  tracked.command.checkpoint = std::move(checkpoint);
+  tracked.placed_on = this->incarnation;
+  this->send_start(run);
+}
+
+void runner_session::send_start(const run_key& run) {
+  tracked_run& tracked = this->runs.at(run);
+  if (!this->is_present(tracked.placed_on)) {
+    this->start_refused(run, tracked, "runner_restarted");
+    return;
+  }
+  ++tracked.attempts;
+  tracked.next_try = never;
+  tracked.command.target = this->target();
+  tracked.command.lease_until_ms = this->lease_until();
+  const instant now = this->time.now();
+  this->extend_expiry(this->options.max_lease);
+  this->port.start(tracked.command,
+                   [this, run, now, a = this->alive](const command_answer& answer) {
+                     if (*a) {
+                       this->start_answered(run, answer, now);
+                     }
+                   });
+}
+
+void runner_session::start_answered(const run_key& run, const command_answer& answer,
+                                    instant sent) {
+  this->update_clock(answer, sent);
+  const auto it = this->runs.find(run);
+  if (it == this->runs.end()) {
+    return;
+  }
+  tracked_run& tracked = it->second;
+  switch (answer.status) {
+    case command_status::done:
+    case command_status::stale_run:
+      tracked.answered_at = this->time.now();
+      this->poll();
+      return;
+    case command_status::fenced:
+      this->leader.token_refused(this->id);
+      return;
+    case command_status::unknown:
+      ++tracked.unanswered_starts;
+      break;
+    case command_status::not_sent:
+      break;
+    case command_status::no_ticket:
+      this->leader.ticket_refused(this->id, run);
+      this->start_refused(run, tracked, to_string(answer.status));
+      return;
+    default:
+      this->start_refused(run, tracked, to_string(answer.status));
+      return;
+  }
+  if (tracked.stopping) {
+    return;
+  }
+  if (tracked.attempts < this->options.max_start_attempts) {
+    tracked.next_try = this->time.now() + this->options.retry;
+    return;
+  }
+  this->start_refused(run, tracked, to_string(answer.status));
+}
+
+// The last start command was not executed. If an earlier one got no answer, it may still
+// be executed, so a stop has to close the run first.
+void runner_session::start_refused(const run_key& run, tracked_run& tracked, std::string_view why) {
+  if (tracked.unanswered_starts > 0) {
+    tracked.stopping = true;
+    this->send_stop(run);
+    return;
+  }
+  this->runs.erase(run);
+  this->leader.run_lost(this->id, run, why);
+}
+
+void runner_session::stop(const run_key& run) {
+  const auto it = this->runs.find(run);
+  if (it == this->runs.end() || it->second.stopping) {
+    return;
+  }
+  it->second.stopping = true;
+  this->send_stop(run);
+}
+
+void runner_session::send_stop(const run_key& run) {
+  tracked_run& tracked = this->runs.at(run);
+  if (tracked.stop_in_flight || !this->reachable()) {
+    tracked.next_try = this->time.now() + this->options.retry;
+    return;
+  }
+  tracked.stop_in_flight = true;
+  tracked.next_try = never;
+  const stop_command command{this->target(), run.task.text(), run.run};
+  const instant sent = this->time.now();
+  this->port.stop(command, [this, run, sent, a = this->alive](const command_answer& answer) {
+    if (!*a) {
+      return;
+    }
+    this->update_clock(answer, sent);
+    const auto it = this->runs.find(run);
+    if (it == this->runs.end()) {
+      return;
+    }
+    it->second.stop_in_flight = false;
+    if (answer.status == command_status::done || answer.status == command_status::stale_run) {
+      it->second.stop_answered = true;
+      it->second.answered_at = this->time.now();
+      this->poll();
+      return;
+    }
+    if (answer.status == command_status::fenced) {
+      this->leader.token_refused(this->id);
+      return;
+    }
+    it->second.next_try = this->time.now() + this->options.retry;
+  });
+}
+
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/runner_session_reports.cc
@@ -0,0 +1,155 @@
+// How a session handles a runner's report: restarts, ends, runs that are there and runs that
+// are missing.
+
+#include <algorithm>
+#include <vector>
+
+#include "cell/runner_session.h"
+
+namespace monsoonmux::cell {
+
+void runner_session::handle_report(const poll_report& report, const poll_request& request,
+                                   instant sent) {
+  const clock_reading reading{report.clock_ms, sent, this->time.now()};
+  if (this->incarnation != 0 && report.incarnation != this->incarnation) {
+    this->note_restart(report, request, sent);
+    this->runner_time.begin(reading);
+  } else {
+    this->runner_time.confirm(reading);
+    this->acknowledged_up_to = std::max(this->acknowledged_up_to, request.acked_up_to);
+  }
+  this->incarnation = report.incarnation;
+  this->admitted = true;
+  this->incarnation_uncertain = false;
+  this->process_ends(report);
+  this->process_running(report);
+  this->close_missing(report, sent);
+  this->announce(report.incarnation);
+}
+
+// Called last, so that all that the report shows is counted before any work is placed there.
+// The capacity and labels of an incarnation are known when its own entry has arrived.
+void runner_session::announce(std::int64_t reported) {
+  if (this->announced) {
+    return;
+  }
+  if (reported != this->entry.incarnation) {
+    this->next_poll = this->time.now() + this->options.retry;
+    return;
+  }
+  this->announced = true;
+  this->leader.runner_admitted(this->id);
+}
+
+// All runs of the previous incarnation are over, but a start command may already have
+// reached the new one. The runs that the current report lists are kept, and
+// close_missing() closes the others.
+void runner_session::note_restart(const poll_report& report, const poll_request& request,
+                                  instant sent) {
+  this->events.write("runner_reborn", {{"runner", this->id},
+                                       {"born", report.incarnation},
+                                       {"previous", this->incarnation},
+                                       {"acknowledged", request.acked_up_to},
+                                       {"poll_ms", (this->time.now() - sent).value}});
+  this->last_end_seen = 0;
+  this->stored_up_to = 0;
+  this->acknowledged_up_to = 0;
+  this->unstored_ends.clear();
+  this->announced = false;
+  this->leader.runner_unresponsive(this->id);
+  this->extend_expiry(this->options.runner_max_lease);
+}
+
+void runner_session::process_ends(const poll_report& report) {
+  for (const finished_run& end : report.finished) {
+    if (end.number <= this->last_end_seen) {
+      continue;
+    }
+    this->last_end_seen = end.number;
+    this->unstored_ends.insert(end.number);
+    const auto task = parse_task_ref(end.task);
+    const run_key run{task.value_or(task_ref{}), end.run};
+    this->runs.erase(run);
+    this->leader.run_ended(this->id, run, end.how, end.checkpoint, end.number);
+  }
+}
+
+void runner_session::process_running(const poll_report& report) {
+  for (const running_run& running : report.running) {
+    const auto task = parse_task_ref(running.task);
+    if (!task) {
+      continue;
+    }
+    const run_key run{*task, running.run};
+    const auto it = this->runs.find(run);
+    if (it == this->runs.end()) {
+      // This leader did not start or adopt the run, or has closed it already.
+      tracked_run& tracked = this->runs[run];
+      tracked.stopping = true;
+      this->leader.untracked_run_found(this->id, run);
+      this->send_stop(run);
+      continue;
+    }
+    it->second.recovered = false;
+    if (it->second.answered_at == instant{0}) {
+      it->second.answered_at = this->time.now();
+    }
+    if (!running.checkpoint.empty()) {
+      this->leader.checkpoint_reported(this->id, run, running.checkpoint);
+    }
+  }
+}
+
+bool runner_session::lists(const poll_report& report, const run_key& run) {
+  const std::string name = run.task.text();
+  return std::any_of(report.running.begin(), report.running.end(),
+                     [&name, &run](const running_run& running) {
+                       return running.run == run.run && running.task == name;
+                     });
+}
+
+void runner_session::close_missing(const poll_report& report, instant sent) {
+  std::vector<run_key> missing;
+  for (const auto& [run, tracked] : this->runs) {
+    const bool answered_before = tracked.answered_at != instant{0} && tracked.answered_at < sent;
+    if (!tracked.recovered && !answered_before) {
+      continue;
+    }
+    if (!lists(report, run)) {
+      missing.push_back(run);
+    }
+  }
+  // A report lists at most 500 ends. A run whose end may follow in the next report is not
+  // missing.
+  constexpr std::size_t ends_per_report = 500;
+  if (report.finished.size() >= ends_per_report) {
+    return;
+  }
+  for (const run_key& run : missing) {
+    this->log_closed(run, this->runs.at(run), "not_there");
+    this->runs.erase(run);
+    this->leader.run_lost(this->id, run, "not_there");
+  }
+}
+
+// What the conclusion that a run is over without a listed end was based on.
+void runner_session::log_closed(const run_key& run, const tracked_run& tracked,
+                                std::string_view why) {
+  const instant now = this->time.now();
+  const std::int64_t since_answer =
+      tracked.answered_at == instant{0} ? -1 : (now - tracked.answered_at).value;
+  this->events.write("run_closed", {{"runner", this->id},
+                                    {"task", run.task.text()},
+                                    {"run", run.run},
+                                    {"why", why},
+                                    {"incarnation", this->incarnation},
+                                    {"placed_on", tracked.placed_on},
+                                    {"inherited", tracked.recovered},
+                                    {"answered_ms", since_answer},
+                                    {"unanswered_starts", tracked.unanswered_starts},
+                                    {"proof_ms", this->proof_age(now).value},
+                                    {"lease_over_ms", (now - this->leases_expire_at).value},
+                                    {"acknowledged", this->acknowledged_up_to}});
+}
+
+}  // namespace monsoonmux::cell
