Nothing is placed while starts may not be sent

No test shows it: the fake store cuts all topics of a daemon at once. cell_test, 115 cases, 318,151 assertions passed.

--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -281,7 +281,7 @@
 }
 
 void leader::make_plan() {
-  if (!this->gate.is_open() || this->writer.stalled_for() > this->options.writer_stall) {
+  if (!this->gate.passes_starts() || this->writer.stalled_for() > this->options.writer_stall) {
     return;  // Nothing that is placed now could be started; tick() requests the next plan.
   }
   const instant now = this->services.time.now();
