A successor reckons with the leases that commands ask for again

A lasting task of a runner that had left at 27.3 s, with its leader replaced at 26 to 28 s, started again at 41.2 s, 14 s after; the rule asks for it by 39.0 s.

--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -76,8 +76,8 @@
            this->on.may_start),
       plan_timer(given.io),
       ticker(given.io) {
-  this->inherited_until = previous_commands_until +
-                          longest_real_time(settings.session.runner_max_lease) + inherited_margin;
+  this->inherited_until =
+      previous_commands_until + longest_real_time(settings.session.max_lease) + inherited_margin;
 }
 
 leader::~leader() = default;
