--- /dev/null
+++ b/review/cases.cc
@@ -0,0 +1,357 @@
+// The cases of the review. Usage: review_case NAME RECORD; run in the repository root, after the
+// build of the deploy file. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could
+// not run. TROUBLE=0 leaves out the disruption.
+
+#include <csignal>
+#include <cstdio>
+#include <set>
+
+#include "review/rig.h"
+
+namespace review {
+namespace {
+
+constexpr int held = 0;
+constexpr int broken = 1;
+const char* const key = "key-a";
+
+json job(const std::string& spec, json steps) {
+  return {{"Spec", spec}, {"Steps", std::move(steps)}};
+}
+
+json lasting_step(int count, int cpu) {
+  json out = step(count, cpu);
+  out["LongRunning"] = true;
+  return out;
+}
+
+int verdict(cell& c, bool is_broken, const std::string& why) {
+  c.note(std::string(is_broken ? "BROKEN: " : "held: ") + why);
+  std::printf("%s%s\n", is_broken ? "BROKEN: " : "held: ", why.c_str());
+  return is_broken ? broken : held;
+}
+
+// Waits until the task has a run that its runner carries out.
+run_seen wait_for_run(cell& c, const std::string& task, double seconds) {
+  const double until = c.seconds() + seconds;
+  while (c.seconds() < until) {
+    if (const auto run = c.live_run(task)) {
+      return *run;
+    }
+    c.sleep(0.02);
+  }
+  throw cannot_run("no run of " + task);
+}
+
+// A large job is handed in: 250 map steps, and 250 reduce steps that depend on each of them.
+int large_job(const std::string& record) {
+  cell c(record, 3, std::vector<runner_plan>(6));
+  c.start(plain_config(1));
+  const auto ordinary = [&c](int count) {
+    std::set<std::string> accepted;
+    for (int i = 0; i < count; ++i) {
+      const std::string id = new_id();
+      const answer a = c.submit("/q/" + id, key, job("300:done", {step(2, 500)}), i % 3);
+      if (a.status == 200) {
+        accepted.insert(id);
+      }
+      c.sleep(0.2);
+    }
+    return accepted;
+  };
+  const std::set<std::string> before = ordinary(10);
+  c.sleep(2);
+  for (const std::string& id : before) {
+    if (c.state("/q/" + id, key) != "completed") {
+      throw cannot_run("an ordinary job before the large one is not completed");
+    }
+  }
+  if (trouble()) {
+    json steps = json::array();
+    json maps = json::array();
+    constexpr int width = 250;
+    for (int i = 0; i < width; ++i) {
+      steps.push_back(step(1, 100));
+      maps.push_back(i);
+    }
+    for (int i = 0; i < width; ++i) {
+      json reduce = step(1, 100);
+      reduce["DependsOn"] = maps;
+      steps.push_back(std::move(reduce));
+    }
+    c.note("the large job is handed in");
+    c.submit("/q/" + new_id(), key, job("50:done", steps));
+  }
+  const std::set<std::string> after = ordinary(10);
+  c.note("30 s of calm");
+  c.sleep(30);
+  int unfinished = 0;
+  int unstarted = 0;
+  for (const std::string& id : after) {
+    const std::string state = c.state("/q/" + id, key);
+    unfinished += state != "completed" ? 1 : 0;
+    unstarted += c.runs_of(id).empty() ? 1 : 0;
+  }
+  for (int n = 0; n < c.daemon_count(); ++n) {
+    c.daemon_alive(n);
+  }
+  return verdict(c, unstarted > 0,
+                 std::to_string(after.size()) + " ordinary jobs accepted after the large one, " +
+                     std::to_string(unfinished) + " not completed and " +
+                     std::to_string(unstarted) +
+                     " without any start 30 s later, with all six runners up and empty");
+}
+
+// The runner of a lasting task crashes three times; another job needs the same kind of runner.
+int crowded_out(const std::string& record) {
+  std::vector<runner_plan> plans(8);
+  plans[7].labels = {"kind-b", "rack-1"};
+  cell c(record, 3, plans);
+  c.start(plain_config(1));
+  json needs_b = lasting_step(1, 1'000);
+  needs_b["Requires"] = "kind-b";
+  const std::string lasting = new_id();
+  if (c.submit("/q/" + lasting, key, job("last", {needs_b})).status != 200) {
+    throw cannot_run("the lasting job is not accepted");
+  }
+  const std::string task = lasting + ".0.0.0";
+  wait_for_run(c, task, 5);
+  for (int i = 0; i < 3 && trouble(); ++i) {
+    c.sleep(3);
+    c.crash_runner(7);
+    c.sleep(1);
+    c.restart_runner(7);
+    wait_for_run(c, task, 15);
+  }
+  c.sleep(5);
+  json short_b = step(1, 1'000);
+  short_b["Requires"] = "kind-b";
+  const std::string other = new_id();
+  if (c.submit("/q/" + other, key, job("500:done", {short_b})).status != 200) {
+    throw cannot_run("the second job is not accepted");
+  }
+  c.note("45 s of calm");
+  c.sleep(45);
+  const std::string state = c.state("/q/" + other, key);
+  const bool started = !c.runs_of(other).empty();
+  return verdict(c, !started && state != "completed",
+                 "the second job is shown as " + state + (started ? ", it has started" : "") +
+                     " 45 s after its acceptance; its runner has 7 of 8 cores free");
+}
+
+// The runner of a lasting task crashes four times.
+int given_up(const std::string& record) {
+  cell c(record, 3, std::vector<runner_plan>(8));
+  c.start(plain_config(1));
+  const std::string lasting = new_id();
+  if (c.submit("/q/" + lasting, key, job("last", {lasting_step(1, 1'000)})).status != 200) {
+    throw cannot_run("the job is not accepted");
+  }
+  const std::string task = lasting + ".0.0.0";
+  for (int i = 0; i < 4; ++i) {
+    const run_seen run = wait_for_run(c, task, 20);
+    c.sleep(4);
+    if (!trouble()) {
+      continue;
+    }
+    const int number = c.runner_number(run.runner);
+    c.crash_runner(number);
+    c.sleep(1);
+    c.restart_runner(number);
+  }
+  c.note("30 s of calm");
+  c.sleep(30);
+  const std::string state = c.state("/q/" + lasting, key);
+  const bool runs = c.live_run(task).has_value();
+  return verdict(c, !runs || state == "failed",
+                 "the lasting job is shown as " + state + ", its task " +
+                     (runs ? "runs" : "does not run") + "; no run of it has ended failed");
+}
+
+// Jobs are cancelled 20 ms after they were accepted, at the daemon that accepted them.
+int cancelled_at_once(const std::string& record) {
+  cell c(record, 3, std::vector<runner_plan>(8));
+  c.start(plain_config(1));
+  constexpr int jobs = 30;
+  struct cancelled {
+    std::string id;
+    int status = 0;
+    double at = 0;
+  };
+  std::vector<cancelled> all;
+  for (int i = 0; i < jobs; ++i) {
+    const std::string id = new_id();
+    if (c.submit("/q/" + id, key, job("last", {lasting_step(1, 100)}), i % 3).status != 200) {
+      throw cannot_run("a job is not accepted");
+    }
+    c.sleep(trouble() ? 0.02 : 2.0);
+    const answer a = c.request(i % 3, "DELETE", "/q/" + id, key);
+    all.push_back({id, a.status, c.seconds()});
+    c.sleep(0.1);
+  }
+  c.note("15 s of calm");
+  c.sleep(15);
+  int gone = 0;
+  int running = 0;
+  for (const cancelled& each : all) {
+    const bool runs = c.live_run(each.id + ".0.0.0").has_value();
+    gone += each.status == 410 ? 1 : 0;
+    running += (each.status == 200 || each.status == 410) && runs ? 1 : 0;
+  }
+  return verdict(c, running > 0,
+                 std::to_string(gone) + " of " + std::to_string(jobs) +
+                     " cancels of accepted jobs are answered 410; the tasks of " +
+                     std::to_string(running) + " jobs whose cancel was answered run 15 s later");
+}
+
+// A route is added while the connection on which the leader waits for the configuration is silent.
+int new_route(const std::string& record) {
+  cell c(record, 3, std::vector<runner_plan>(8));
+  c.start(plain_config(1));
+  const int leader = c.last_conditional_writer();
+  const int other = (leader + 1) % 3;
+  json next = plain_config(4);
+  json route = next["Routes"][0];
+  route["Name"] = "queue-b";
+  route["PathPrefix"] = "/new/";
+  next["Routes"].push_back(route);
+  if (trouble()) {
+    c.silence_config_read(leader);
+  }
+  c.configure(next);
+  c.sleep(0.3);
+  const std::string id = new_id();
+  if (c.submit("/new/" + id, key, job("1500:failed|500:done", {step(1, 1'000)}), other).status !=
+      200) {
+    throw cannot_run("the job is not accepted");
+  }
+  c.sleep(20);
+  const std::string state = c.state("/new/" + id, key, other);
+  int failed = 0;
+  for (const run_seen& run : c.runs_of(id)) {
+    failed += run.how == "failed" ? 1 : 0;
+  }
+  return verdict(c, state == "failed" && failed < 4,
+                 "the job is shown as " + state + " after " + std::to_string(failed) +
+                     " ends `failed`; MaxAttempts of its route is 4");
+}
+
+// A gang waits for runners that lasting tasks share; another lasting job comes.
+int behind_gang(const std::string& record) {
+  cell c(record, 3, std::vector<runner_plan>(4));
+  json config = plain_config(1);
+  json urgent = config["Routes"][0];
+  urgent["Name"] = "queue-u";
+  urgent["PathPrefix"] = "/urgent/";
+  urgent["Priority"] = 0;
+  config["Routes"].push_back(urgent);
+  c.start(config);
+  json first = step(4, 500);
+  first["AntiAffinity"] = 1;
+  const std::string one = new_id();
+  c.submit("/q/" + one, key, job("70000:done", {first}));
+  c.sleep(3);
+  if (trouble()) {
+    json gang = step(4, 7'800);
+    gang["Gang"] = true;
+    gang["EstimateMs"] = 14'000;
+    c.submit("/urgent/" + new_id(), key, job("14000:done", {gang}));
+    c.sleep(1);
+  }
+  const std::string two = new_id();
+  if (c.submit("/q/" + two, key, job("last", {lasting_step(1, 500)})).status != 200) {
+    throw cannot_run("the second lasting job is not accepted");
+  }
+  const double accepted = c.seconds();
+  double started = -1;
+  while (c.seconds() < accepted + 80 && started < 0) {
+    c.sleep(0.1);
+    if (const auto run = c.live_run(two + ".0.0.0")) {
+      started = run->started;
+    }
+  }
+  const bool late = started < 0 || started > accepted + 9;
+  return verdict(c, late,
+                 "the second lasting job " +
+                     (started < 0 ? std::string("has not started 80 s after")
+                                  : "started " + std::to_string(started - accepted) + " s after") +
+                     " its acceptance; each runner has 7.5 of 8 cores free");
+}
+
+// An entry of another writer names a runner of another system, of a service that is not named here.
+int foreign_entry(const std::string& record) {
+  std::vector<runner_plan> plans(7);
+  constexpr int foreign = 6;
+  plans[foreign].pool = "another-service";
+  plans[foreign].registers = false;
+  plans[foreign].first_token = 100'000;
+  cell c(record, 3, plans);
+  c.start(plain_config(1));
+  const std::string lasting = new_id();
+  if (c.submit("/q/" + lasting, key, job("last", {lasting_step(1, 1'000)})).status != 200) {
+    throw cannot_run("the lasting job is not accepted");
+  }
+  wait_for_run(c, lasting + ".0.0.0", 5);
+  if (trouble()) {
+    c.register_runner(foreign);
+  }
+  c.sleep(5);
+  std::set<std::string> accepted;
+  for (int i = 0; i < 10; ++i) {
+    const std::string id = new_id();
+    if (c.submit("/q/" + id, key, job("300:done", {step(2, 500)}), i % 3).status == 200) {
+      accepted.insert(id);
+    }
+    c.sleep(0.2);
+  }
+  c.note("30 s of calm");
+  c.sleep(30);
+  int unstarted = 0;
+  for (const std::string& id : accepted) {
+    c.state("/q/" + id, key);
+    unstarted += c.runs_of(id).empty() ? 1 : 0;
+  }
+  const bool runs = c.live_run(lasting + ".0.0.0").has_value();
+  return verdict(c, unstarted > 0 || !runs,
+                 std::to_string(unstarted) + " of " + std::to_string(accepted.size()) +
+                     " accepted jobs have not started 30 s later, the task of the lasting job " +
+                     (runs ? "runs" : "does not run") + "; all six runners are up");
+}
+
+}  // namespace
+}  // namespace review
+
+int main(int argc, char** argv) {
+  if (argc != 3) {
+    std::fprintf(stderr, "usage: review_case NAME RECORD\n");
+    return 2;
+  }
+  const std::string name = argv[1];
+  try {
+    if (name == "large_job") {
+      return review::large_job(argv[2]);
+    }
+    if (name == "crowded_out") {
+      return review::crowded_out(argv[2]);
+    }
+    if (name == "given_up") {
+      return review::given_up(argv[2]);
+    }
+    if (name == "cancelled_at_once") {
+      return review::cancelled_at_once(argv[2]);
+    }
+    if (name == "foreign_entry") {
+      return review::foreign_entry(argv[2]);
+    }
+    if (name == "new_route") {
+      return review::new_route(argv[2]);
+    }
+    if (name == "behind_gang") {
+      return review::behind_gang(argv[2]);
+    }
+    std::fprintf(stderr, "unknown case %s\n", name.c_str());
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "cannot run: %s\n", error.what());
+  }
+  return 2;
+}
