--- a/review/cases.cc
+++ b/review/cases.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <cstdio>
 #include <set>
+#include <thread>
 
 #include "review/rig.h"
 
@@ -43,7 +44,7 @@
   throw cannot_run("no run of " + task);
 }
 
-// A large job is handed in: 250 map steps, and 250 reduce steps that depend on each of them.
+// Large jobs are handed in: 250 map steps, and 250 reduce steps that depend on each of them.
 int large_job(const std::string& record) {
   cell c(record, 3, std::vector<runner_plan>(6));
   c.start(plain_config(1));
@@ -63,7 +64,7 @@
   c.sleep(2);
   for (const std::string& id : before) {
     if (c.state("/q/" + id, key) != "completed") {
-      throw cannot_run("an ordinary job before the large one is not completed");
+      throw cannot_run("an ordinary job before the large ones is not completed");
     }
   }
   if (trouble()) {
@@ -79,8 +80,16 @@
       reduce["DependsOn"] = maps;
       steps.push_back(std::move(reduce));
     }
-    c.note("the large job is handed in");
-    c.submit("/q/" + new_id(), key, job("50:done", steps));
+    constexpr int clients = 4;
+    c.note("four large jobs are handed in at once");
+    std::vector<std::thread> all;
+    for (int i = 0; i < clients; ++i) {
+      all.emplace_back(
+          [&c, &steps, i] { c.submit("/q/" + new_id(), key, job("50:done", steps), i % 3); });
+    }
+    for (std::thread& client : all) {
+      client.join();
+    }
   }
   const std::set<std::string> after = ordinary(10);
   c.note("30 s of calm");
@@ -96,7 +105,7 @@
     c.daemon_alive(n);
   }
   return verdict(c, unstarted > 0,
-                 std::to_string(after.size()) + " ordinary jobs accepted after the large one, " +
+                 std::to_string(after.size()) + " ordinary jobs accepted after the large ones, " +
                      std::to_string(unfinished) + " not completed and " +
                      std::to_string(unstarted) +
                      " without any start 30 s later, with all six runners up and empty");
@@ -168,42 +177,6 @@
                      (runs ? "runs" : "does not run") + "; no run of it has ended failed");
 }
 
-// Jobs are cancelled 20 ms after they were accepted, at the daemon that accepted them.
-int cancelled_at_once(const std::string& record) {
-  cell c(record, 3, std::vector<runner_plan>(8));
-  c.start(plain_config(1));
-  constexpr int jobs = 30;
-  struct cancelled {
-    std::string id;
-    int status = 0;
-    double at = 0;
-  };
-  std::vector<cancelled> all;
-  for (int i = 0; i < jobs; ++i) {
-    const std::string id = new_id();
-    if (c.submit("/q/" + id, key, job("last", {lasting_step(1, 100)}), i % 3).status != 200) {
-      throw cannot_run("a job is not accepted");
-    }
-    c.sleep(trouble() ? 0.02 : 2.0);
-    const answer a = c.request(i % 3, "DELETE", "/q/" + id, key);
-    all.push_back({id, a.status, c.seconds()});
-    c.sleep(0.1);
-  }
-  c.note("15 s of calm");
-  c.sleep(15);
-  int gone = 0;
-  int running = 0;
-  for (const cancelled& each : all) {
-    const bool runs = c.live_run(each.id + ".0.0.0").has_value();
-    gone += each.status == 410 ? 1 : 0;
-    running += (each.status == 200 || each.status == 410) && runs ? 1 : 0;
-  }
-  return verdict(c, running > 0,
-                 std::to_string(gone) + " of " + std::to_string(jobs) +
-                     " cancels of accepted jobs are answered 410; the tasks of " +
-                     std::to_string(running) + " jobs whose cancel was answered run 15 s later");
-}
-
 // A route is added while the connection on which the leader waits for the configuration is silent.
 int new_route(const std::string& record) {
   cell c(record, 3, std::vector<runner_plan>(8));
@@ -236,48 +209,6 @@
                      " ends `failed`; MaxAttempts of its route is 4");
 }
 
-// A gang waits for runners that lasting tasks share; another lasting job comes.
-int behind_gang(const std::string& record) {
-  cell c(record, 3, std::vector<runner_plan>(4));
-  json config = plain_config(1);
-  json urgent = config["Routes"][0];
-  urgent["Name"] = "queue-u";
-  urgent["PathPrefix"] = "/urgent/";
-  urgent["Priority"] = 0;
-  config["Routes"].push_back(urgent);
-  c.start(config);
-  json first = step(4, 500);
-  first["AntiAffinity"] = 1;
-  const std::string one = new_id();
-  c.submit("/q/" + one, key, job("70000:done", {first}));
-  c.sleep(3);
-  if (trouble()) {
-    json gang = step(4, 7'800);
-    gang["Gang"] = true;
-    gang["EstimateMs"] = 14'000;
-    c.submit("/urgent/" + new_id(), key, job("14000:done", {gang}));
-    c.sleep(1);
-  }
-  const std::string two = new_id();
-  if (c.submit("/q/" + two, key, job("last", {lasting_step(1, 500)})).status != 200) {
-    throw cannot_run("the second lasting job is not accepted");
-  }
-  const double accepted = c.seconds();
-  double started = -1;
-  while (c.seconds() < accepted + 80 && started < 0) {
-    c.sleep(0.1);
-    if (const auto run = c.live_run(two + ".0.0.0")) {
-      started = run->started;
-    }
-  }
-  const bool late = started < 0 || started > accepted + 9;
-  return verdict(c, late,
-                 "the second lasting job " +
-                     (started < 0 ? std::string("has not started 80 s after")
-                                  : "started " + std::to_string(started - accepted) + " s after") +
-                     " its acceptance; each runner has 7.5 of 8 cores free");
-}
-
 // An entry of another writer names a runner of another system, of a service that is not named here.
 int foreign_entry(const std::string& record) {
   std::vector<runner_plan> plans(7);
@@ -337,18 +268,12 @@
     if (name == "given_up") {
       return review::given_up(argv[2]);
     }
-    if (name == "cancelled_at_once") {
-      return review::cancelled_at_once(argv[2]);
-    }
     if (name == "foreign_entry") {
       return review::foreign_entry(argv[2]);
     }
     if (name == "new_route") {
       return review::new_route(argv[2]);
     }
-    if (name == "behind_gang") {
-      return review::behind_gang(argv[2]);
-    }
     std::fprintf(stderr, "unknown case %s\n", name.c_str());
   } catch (const std::exception& error) {
     std::fprintf(stderr, "cannot run: %s\n", error.what());
