--- a/review/rig.cc
+++ b/review/rig.cc
@@ -52,7 +52,8 @@
 // Of the daemons that run, for the signal handler.
 std::atomic<pid_t> started[most_daemons];
 
-// Ends the daemons when the script is stopped or takes too long.
+// Ends the daemons when the script is stopped, takes too long or meets an exception that nobody
+// handles.
 void give_up(int) {
   for (const auto& pid : started) {
     if (pid > 0) {
@@ -390,7 +391,7 @@
              this->time, "store"),
       store(this->loop, this->time, this->events, daemon_count, 1) {
   std::signal(SIGPIPE, SIG_IGN);
-  for (const int number : {SIGTERM, SIGINT, SIGHUP, SIGALRM}) {
+  for (const int number : {SIGTERM, SIGINT, SIGHUP, SIGALRM, SIGABRT}) {
     std::signal(number, give_up);
   }
   alarm(longest_s);
