Advice: steps that a query cannot help hold nothing, and each step gets its turn

Cause: each waiting step took its usual query's time from its service's window before it was known whether it had anything to ask, and was asked about runners of another kind. Lasting steps come first and never count as given up, so three of them held the window for good. The same class on related paths: long queries held the slots of a round and the window of short ones although no daemon took them; short ones kept all daemons from long ones; one service's steps the turns of the other; 400 blocked steps all later ones; runners that were lost for good took the time of each round.

Logs first: step_waits tells not_asked from not_good, queries and query_wait_ms; cell_load longest_wish_ms.

--- a/src/cell/advice_dispatcher.cc
+++ b/src/cell/advice_dispatcher.cc
@@ -36,7 +36,8 @@
       [this](const auto& entry) { return this->is_available(entry.first, entry.second); }));
 }
 
-advice_dispatcher::peer* advice_dispatcher::least_busy(millis expected, std::string& name) {
+advice_dispatcher::peer* advice_dispatcher::least_busy(millis expected, bool out_of_turn,
+                                                       std::string& name) {
   peer* best = nullptr;
   std::size_t available = 0;
   std::size_t free = 0;
@@ -54,7 +55,7 @@
       name = id;
     }
   }
-  const bool is_long = expected > this->options.long_query;
+  const bool is_long = expected > this->options.long_query && !out_of_turn;
   const auto scaled_minimum =
       static_cast<std::size_t>(this->options.min_free_fraction * static_cast<double>(available));
   const std::size_t min_free_daemons = std::max(this->options.min_free_daemons, scaled_minimum);
@@ -70,7 +71,7 @@
       std::llround(query.terms.per_call_ms +
                    query.terms.per_runner_ms * static_cast<double>(query.runners.size()))};
   std::string name;
-  peer* const chosen = this->least_busy(expected, name);
+  peer* const chosen = this->least_busy(expected, query.out_of_turn, name);
   if (chosen == nullptr) {
     return false;
   }
--- a/src/cell/advice_dispatcher.h
+++ b/src/cell/advice_dispatcher.h
@@ -20,11 +20,12 @@
   // A daemon with a larger backlog than this gets no further queries. Waiting queries stay
   // with the leader, where their order can still change.
   millis max_backlog{150};
-  // A query with a longer expected duration than this is a long one. Long queries are not
-  // sent while the number of free daemons is at most the larger of `min_free_daemons` and
-  // `min_free_fraction` of the available daemons, since shorter queries would have to wait
-  // behind them. The limit applies only if more daemons than that are available.
-  millis long_query{150};
+  // Long queries are not sent while the number of free daemons is at most the larger of
+  // `min_free_daemons` and `min_free_fraction` of the available daemons, since shorter queries
+  // would have to wait behind them. The limit applies only if more daemons than that are available,
+  // and not to queries out of turn: short ones would keep a long one waiting for as long as they
+  // keep coming.
+  millis long_query = long_query_time;
   std::size_t min_free_daemons = 2;
   double min_free_fraction = 0.25;
   millis answer_margin{900};  // Added to the expected duration of all outstanding queries.
@@ -66,7 +67,7 @@
   };
 
   bool is_available(const std::string& id, const peer& p) const;
-  peer* least_busy(millis expected, std::string& name);
+  peer* least_busy(millis expected, bool out_of_turn, std::string& name);
   void settle(std::int64_t number, bool answered, const std::vector<ticket>& tickets);
 
   peer_port& link;
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -321,13 +321,20 @@
   this->report_waiting(decided.reasons);
   ++this->plan_rounds;
   this->deferred_queries = decided.deferred_queries;
+  this->longest_query_wait = decided.longest_query_wait;
   this->undispatched_queries = 0;
   for (const advice_query& query : decided.advice_queries) {
     // A long query for which no daemon is free must not keep a later, short one from being
     // sent.
     const bool asked = this->dispatcher.ask(query);
-    this->state.advice.entry_for(query.step).query_pending = asked;
+    advice_cache::step_advice& advice = this->state.advice.entry_for(query.step);
+    if (asked) {
+      advice.sent(query.out_of_turn);
+    } else {
+      advice.put_off(now);
+    }
     this->undispatched_queries += asked ? 0 : 1;
+    this->services.metrics.count("queries_out_of_turn", asked && query.out_of_turn ? 1 : 0);
   }
   this->services.metrics.gauge("waiting_tasks", decided.waiting_tasks);
   this->services.metrics.gauge("open_jobs", static_cast<std::int64_t>(this->state.jobs.size()));
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -207,6 +207,7 @@
   std::int64_t waiting_tasks = 0;
   std::int64_t undispatched_queries = 0;  // In the last round, for lack of a free daemon.
   std::int64_t deferred_queries = 0;      // In the last round; see plan.
+  millis longest_query_wait{0};           // The same.
   std::map<std::string, std::int64_t> bytes_reported;  // Byte counters at the last load report.
   std::int64_t unsent_start_bytes = 0;  // Of starts that wait until their records are in the log.
   std::int64_t plan_rounds = 0;         // Since the last load report.
--- a/src/cell/leader_reports.cc
+++ b/src/cell/leader_reports.cc
@@ -39,6 +39,7 @@
                                             {"runners_taking_work", available},
                                             {"wishes_without_daemon", this->undispatched_queries},
                                             {"wishes_put_off", this->deferred_queries},
+                                            {"longest_wish_ms", this->longest_query_wait.value},
                                             {"plan_ms", this->plan_duration.value},
                                             {"rounds", this->plan_rounds},
                                             {"services", services_load},
@@ -60,8 +61,11 @@
                                                {"claimed", why.claimed},
                                                {"no_room", why.no_room},
                                                {"not_permitted", why.not_permitted},
+                                               {"not_asked", why.not_asked},
                                                {"not_good", why.not_good},
-                                               {"no_ticket", why.no_ticket}});
+                                               {"no_ticket", why.no_ticket},
+                                               {"queries", why.queries},
+                                               {"query_wait_ms", why.query_wait.value}});
   }
 }
 
--- a/src/decide/advice_cache.cc
+++ b/src/decide/advice_cache.cc
@@ -13,6 +13,25 @@
   return it != this->good.end() && it->second;
 }
 
+bool advice_cache::step_advice::holds_ticket(instant when) const {
+  return std::any_of(this->tickets.begin(), this->tickets.end(),
+                     [when](const auto& entry) { return when < entry.second.valid_until; });
+}
+
+void advice_cache::step_advice::sent(bool out_of_turn) {
+  this->query_pending = true;
+  this->pending_out_of_turn = out_of_turn;
+  this->wanted_since = never;
+  ++this->queries;
+}
+
+std::size_t advice_cache::pending_out_of_turn() const {
+  return static_cast<std::size_t>(
+      std::count_if(this->steps.begin(), this->steps.end(), [](const auto& entry) {
+        return entry.second.query_pending && entry.second.pending_out_of_turn;
+      }));
+}
+
 const advice_cache::step_advice* advice_cache::find(const step_ref& step) const {
   const auto it = this->steps.find(step);
   return it == this->steps.end() ? nullptr : &it->second;
--- a/src/decide/advice_cache.h
+++ b/src/decide/advice_cache.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <array>
 #include <map>
 #include <optional>
 #include <string>
@@ -7,6 +9,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "decide/isolation.h"
 #include "decide/task_ref.h"
 #include "model/cell_config.h"
 
@@ -34,11 +37,31 @@
     };
     std::unordered_map<std::string, cached_ticket> tickets;
     bool query_pending = false;
-    instant retry_at{0};  // No query is sent before this time.
+    bool pending_out_of_turn = false;  // The pending query is one of advice_query::out_of_turn.
+    instant retry_at{0};               // No query is sent before this time.
+    // No query is sent before this time for the tasks of that degree of isolation, since there
+    // was no runner to query about for them.
+    std::array<instant, isolation_degrees> no_runner_until{};
+    // Since when the step has wanted a query that was not sent; `never` if it wants none.
+    instant wanted_since = never;
+    instant next_turn{0};      // No query is considered out of turn before this time.
+    std::int64_t queries = 0;  // Number of queries sent.
+
+    // The step wants a query that is not sent now.
+    void put_off(instant now) { this->wanted_since = std::min(this->wanted_since, now); }
+    // How long the step has wanted a query that was not sent.
+    millis waited(instant now) const {
+      return this->wanted_since == never ? millis{0} : now - this->wanted_since;
+    }
+    void sent(bool out_of_turn);
 
     // Returns the ticket for a start at `when`; null if none is valid then.
     const std::string* ticket_for(const std::string& runner, instant when) const;
     bool known_good(const std::string& runner) const;
+    // A query has named the runner.
+    bool asked(const std::string& runner) const { return this->good.contains(runner); }
+    // Some ticket is valid at `when`.
+    bool holds_ticket(instant when) const;
   };
 
   step_advice& entry_for(const step_ref& step) { return this->steps[step]; }
@@ -56,6 +79,8 @@
   std::string ticket_for(const step_ref& step, const std::string& runner, instant now) const;
   void drop_ticket(const step_ref& step, const std::string& runner);
   void forget(const job_id& job);
+  // Number of steps whose pending query was sent out of turn.
+  std::size_t pending_out_of_turn() const;
 
  private:
   struct tally {
--- a/src/decide/isolation.h
+++ b/src/decide/isolation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 
 namespace monsoonmux::cell {
@@ -11,6 +12,7 @@
   apart,  // No other task that is to be kept apart may be on its runner.
   alone,  // Nothing may be on its runner but other members of its gang.
 };
+constexpr std::size_t isolation_degrees = 3;
 
 // A task may be started five times if each start crashes its runner: twice like any other,
 // once apart from other suspects, twice alone.
--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -42,8 +42,15 @@
   this->reservations.clear();
   this->previous_reservations.swap(this->new_reservations);
   this->new_reservations.clear();
+  this->deferred.clear();
+  this->queried.clear();
+  this->in_window.clear();
   for (auto& [id, runner] : this->state.runners.all()) {
+    if (!runner.listed && runner.allocations.empty()) {
+      continue;  // Lost; some ids never come back.
+    }
     pool_round& round = this->pools[runner.entry.pool.text];
+    round.max_blocked = this->options.max_blocked_steps;
     round.runners.push_back(&runner);
     // Until a runner has answered, nothing but its entry tells that it has this capacity.
     if (runner.listed && runner.admitted) {
@@ -52,7 +59,8 @@
   }
   this->count_ending_runs(now);
   plan out;
-  for (waiting_step& step : this->collect(now, wall_ms)) {
+  std::vector<waiting_step> steps = this->collect(now, wall_ms);
+  for (waiting_step& step : steps) {
     if (step.query_only) {
       step.advice = &this->state.advice.entry_for(step.ref);
       this->query_advice(step, now, out);
@@ -61,9 +69,37 @@
     out.waiting_tasks += static_cast<std::int64_t>(step.tasks.size());
     this->place_step(step, now, out);
   }
+  this->place_skipped_steps(now, out);
+  this->query_out_of_turn(now, out);
   return out;
 }
 
+void placer::place_skipped_steps(instant now, plan& out) {
+  for (auto& [pool, round] : this->pools) {
+    std::vector<waiting_step*> skipped = std::move(round.skipped);
+    round.skipped.clear();
+    if (skipped.empty()) {
+      continue;
+    }
+    const auto by_step = [](const waiting_step* a, const waiting_step* b) {
+      return std::tie(a->ref, a->kept) < std::tie(b->ref, b->kept);
+    };
+    std::sort(skipped.begin(), skipped.end(), by_step);
+    const step_ref last = this->last_tried[pool];
+    const auto next = std::find_if(skipped.begin(), skipped.end(),
+                                   [&last](const waiting_step* step) { return last < step->ref; });
+    std::rotate(skipped.begin(), next, skipped.end());
+    round.max_blocked += this->options.blocked_steps_in_turn;
+    for (waiting_step* step : skipped) {
+      if (round.blocked >= round.max_blocked) {
+        break;
+      }
+      this->place_step(*step, now, out);
+      this->last_tried[pool] = step->ref;
+    }
+  }
+}
+
 std::vector<placer::waiting_step> placer::collect(instant now, std::int64_t wall_ms) {
   std::vector<waiting_step> out;
   const urgency_evaluator evaluator(this->state, now, wall_ms);
@@ -152,7 +188,8 @@
     return;  // Waits for the link, not for runners.
   }
   pool_round& round = this->pools[step.pool.text];
-  if (round.blocked >= this->options.max_blocked_steps) {
+  if (round.blocked >= round.max_blocked) {
+    round.skipped.push_back(&step);
     return;
   }
   if (step.queue != nullptr && step.queue->advice) {
@@ -165,6 +202,9 @@
   const bool done =
       step.shape->gang ? this->place_gang(step, now, out) : this->place_tasks(step, now, out);
   if (done) {
+    if (step.advice != nullptr) {
+      step.advice->wanted_since = never;
+    }
     if (step.soon_waiting > 0) {
       this->query_advice(step, now, out);
     }
@@ -266,6 +306,10 @@
   out.step = step.ref;
   out.tasks = step.tasks.size();
   out.given_up = step.order.given_up;
+  if (step.advice != nullptr) {
+    out.queries = step.advice->queries;
+    out.query_wait = step.advice->waited(now);
+  }
   for (const runner_state* runner : this->pools[step.pool.text].runners) {
     if (!runner->takes_work(now)) {
       ++out.takes_no_work;
@@ -275,6 +319,8 @@
       ++out.no_room;
     } else if (!this->permitted(step, *runner) || !may_share(step, *runner)) {
       ++out.not_permitted;
+    } else if (step.advice != nullptr && !step.advice->asked(runner->entry.id)) {
+      ++out.not_asked;
     } else if (step.advice != nullptr && !step.advice->known_good(runner->entry.id)) {
       ++out.not_good;
     } else if (!this->may_take(step, *runner, now)) {
--- a/src/decide/placer.h
+++ b/src/decide/placer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,11 +28,19 @@
   step_ref in_favour_of;
 };
 
+// An advice query that takes longer than this is a long one. Short and long ones do not take each
+// other's share of the advice service.
+constexpr millis long_query_time{150};
+
 // A query to the advice service about the given runners on behalf of a step.
 struct advice_query {
   step_ref step;
   advice_config terms;
   std::vector<std::string> runners;
+  pool_id pool;
+  // The step has waited too long for its query, which goes before all others and may be sent to
+  // any free daemon.
+  bool out_of_turn = false;
 };
 
 // Why a step found no runner: for each reason, the number of runners of its pool that
@@ -44,16 +53,20 @@
   std::int32_t claimed = 0;        // Reserved for another step.
   std::int32_t no_room = 0;        // Not enough free capacity.
   std::int32_t not_permitted = 0;  // By its labels or the runs that it has.
+  std::int32_t not_asked = 0;      // No query of the step has named it yet.
   std::int32_t not_good = 0;       // According to the advice service.
   std::int32_t no_ticket = 0;
+  std::int64_t queries = 0;  // Advice queries of the step so far.
+  millis query_wait{0};      // How long it has wanted one that was not sent.
 };
 
 struct plan {
   std::vector<placement> placements;
   std::vector<preemption> preemptions;
   std::vector<advice_query> advice_queries;
-  // Number of steps whose advice query was deferred by the bound on queries per round.
+  // Number of steps whose advice query was deferred by the bounds on queries per round.
   std::int64_t deferred_queries = 0;
+  millis longest_query_wait{0};  // Of the steps that want a query now.
   std::int64_t waiting_tasks = 0;
   std::vector<waiting_reason> reasons;  // Of the first blocked steps of each pool.
 };
@@ -70,22 +83,35 @@
   // A query names at least this many runners, if so many have free capacity, even where
   // fewer would do: a further query costs much more than a further runner in one.
   std::size_t min_runners_per_query = 24;
-  // Only the most urgent waiting steps of a pool query the advice service: those whose
-  // queries together take at most this long for each advising daemon; steps that hold
-  // tickets already count as well. The tickets of less urgent steps would expire before
-  // they are used.
+  // Only the most urgent waiting steps of a pool query the advice service, in the order of
+  // urgency among those of long and among those of short queries: those whose queries together take
+  // at most this long for each advising daemon; steps that hold tickets already count as well. The
+  // tickets of less urgent steps would expire before they are used. Steps that no query can help do
+  // not count.
   millis advice_window{500};
-  // A step that has no runner to query about tries again after this.
+  // A step that has wanted a query for so long sends it out of turn, those that have waited
+  // longest first, if one of its tasks can start at once with a ticket. At any time at most this
+  // share of the daemons, and one for each pool at least, is at work on such queries, so that each
+  // step gets its turn and the urgent ones keep most of the service.
+  millis max_query_wait{1'000};
+  double out_of_turn_share = 0.25;
+  // Maximum number of steps that a round considers for a query out of turn.
+  std::size_t max_considered_out_of_turn = 16;
+  // A step that has no runner to query about tries again after this; one without any ticket,
+  // which no runner of its pool can serve now, after `helpless_retry_delay`.
   millis query_retry_delay{40};
+  millis helpless_retry_delay{250};
   // Maximum number of blocked steps of one pool for which a round reports the reasons.
   std::size_t max_explained_steps = 2;
-  // Maximum number of queries of one pool in one round for each advising daemon. It is as
-  // many as the daemons can handle, since on a slow host the next round may come much
+  // Maximum number of long and of short queries of one pool in one round for each advising daemon.
+  // It is as many as the daemons can handle, since on a slow host the next round may come much
   // later.
   std::size_t queries_per_daemon = 2;
   // After this many steps of one pool found no runner, a round skips the less urgent ones.
-  // This bounds the cost of a round in an overloaded cell.
+  // This bounds the cost of a round in an overloaded cell. Of those that it would skip it still
+  // tries some, in turn, until so many more found no runner.
   std::size_t max_blocked_steps = 400;
+  std::size_t blocked_steps_in_turn = 40;
   // Maximum number of steps of one pool, gangs or steps of large tasks, that reserve
   // runners at the same time.
   std::size_t max_reserving_steps = 2;
@@ -161,6 +187,24 @@
     instant fits_at;  // When the runner is expected to have `need` free.
   };
 
+  // State of one pool in the current round.
+  struct pool_round {
+    std::vector<runner_state*> runners;
+    struct advice_use {
+      std::size_t queries = 0;  // Queries planned.
+      double time_ms = 0;       // Duration of the queries of all steps so far.
+    };
+    advice_use short_queries;
+    advice_use long_queries;
+    std::size_t pending_out_of_turn = 0;  // Queries that were sent out of turn.
+    std::size_t reserving_steps = 0;      // Steps that have reserved runners.
+    std::size_t isolating_steps = 0;      // The same, of tasks that are to be alone.
+    std::size_t blocked = 0;              // Steps that found no runner.
+    std::size_t max_blocked = 0;          // The others are skipped.
+    std::vector<waiting_step*> skipped;
+    resources largest;  // Componentwise maximum of the runners' capacities.
+  };
+
   // Returns the steps that are ready and those that will be soon, the most urgent first.
   std::vector<waiting_step> collect(instant now, std::int64_t wall_ms);
   bool soon_ready(const live_job& job, const live_occurrence& occurrence, std::int32_t step,
@@ -187,6 +231,8 @@
   // True if neither the step's tasks nor the runs on the runner have to be kept from the other.
   static bool may_share(const waiting_step& step, const runner_state& runner);
   void place_step(waiting_step& step, instant now, plan& out);
+  // Tries some of the steps that the pools' rounds have skipped, other ones in each round.
+  void place_skipped_steps(instant now, plan& out);
   // Places tasks of the step and removes them from it. Returns false if the step waits
   // for capacity or tickets, true if all tasks are placed or the step waits for its
   // team's quota.
@@ -217,7 +263,30 @@
   // True if the runner is reserved for another step that would have to wait for this one.
   bool blocked_by_reservation(const waiting_step& step, const runner_state& runner,
                               instant now) const;
+  // Adds a query for the step, if it needs one and it is its turn.
   void query_advice(const waiting_step& step, instant now, plan& out);
+  // A step that has waited too long for a query. `deferred`: null if the plan has the query.
+  struct overdue_step {
+    instant since;
+    step_ref ref;
+    const waiting_step* deferred = nullptr;
+  };
+  using overdue_by_pool = std::map<std::string, std::vector<overdue_step>>;
+  // Returns them, those that have waited longest first.
+  overdue_by_pool overdue_steps(instant now, plan& out);
+  // Adds queries for steps that have waited too long for theirs.
+  void query_out_of_turn(instant now, plan& out);
+  // Adds a query for the step, if there is a runner to query about. `only_with_room`: and one on
+  // which a task of the step can start now.
+  void add_query(const waiting_step& step, bool only_with_room, instant now, plan& out);
+  // Counts the step in its pool's advice window if it uses the service.
+  void take_from_window(const waiting_step& step, instant now);
+  // How long a query for the step usually takes, in ms.
+  double usual_query_ms(const waiting_step& step);
+  // What the step's pool has used of the advice service for queries like the step's.
+  pool_round::advice_use& advice_use_for(const waiting_step& step);
+  // True if the step may start on the runner once the runs there that end by themselves are over.
+  bool may_ever_start(const waiting_step& step, const runner_state& runner) const;
   // A runner that may be named in an advice query.
   struct query_candidate {
     runner_state* runner = nullptr;
@@ -230,7 +299,7 @@
   std::vector<query_candidate> query_candidates(const waiting_step& step, instant now,
                                                 double& startable);
   static bool precedes_in_query(const query_candidate& a, const query_candidate& b);
-  std::vector<runner_state*> runners_to_query(const waiting_step& step, instant now);
+  std::vector<query_candidate> runners_to_query(const waiting_step& step, instant now);
   static std::size_t tasks_to_query_for(const waiting_step& step);
   double starts_needed(const waiting_step& step) const;
   double starts_that_fit(const waiting_step& step, const runner_state& runner) const;
@@ -252,17 +321,14 @@
 
   cell_state& state;
   const placer_options options;
-  // State of one pool in the current round.
-  struct pool_round {
-    std::vector<runner_state*> runners;
-    std::size_t queries = 0;          // Queries planned.
-    double advice_ms = 0;             // Duration of the queries of all steps so far.
-    std::size_t reserving_steps = 0;  // Steps that have reserved runners.
-    std::size_t isolating_steps = 0;  // The same, of tasks that are to be alone.
-    std::size_t blocked = 0;          // Steps that found no runner.
-    resources largest;                // Componentwise maximum of the runners' capacities.
-  };
   std::unordered_map<std::string, pool_round> pools;
+  // In the current round: steps whose query was deferred, those with a query in the plan, and
+  // those that count in the advice window.
+  std::vector<const waiting_step*> deferred;
+  std::set<step_ref> queried;
+  std::set<step_ref> in_window;
+  // By pool, the last step that place_skipped_steps() has tried.
+  std::map<std::string, step_ref> last_tried;
   std::int64_t sendable_bytes = 0;  // Of cell_state::sendable_bytes, what is left of it.
   std::map<step_ref, std::size_t> ending_runs;  // See count_ending_runs().
   struct reservation {
--- a/src/decide/placer_advice.cc
+++ b/src/decide/placer_advice.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
+#include <tuple>
 #include <utility>
 
 #include "decide/placer.h"
@@ -83,36 +85,156 @@
 }
 
 void placer::query_advice(const waiting_step& step, instant now, plan& out) {
-  if (step.advice == nullptr) {
+  if (step.advice == nullptr || this->queried.contains(step.ref)) {
     return;
   }
-  const advice_config& terms = *step.queue->advice;
-  pool_round& round = this->pools[step.pool.text];
-  const std::size_t named = std::min(round.runners.size(), this->options.runners_per_query);
-  round.advice_ms += terms.per_call_ms + terms.per_runner_ms * static_cast<double>(named);
-  const bool in_window = round.advice_ms <= static_cast<double>(this->options.advice_window.value) *
-                                                static_cast<double>(this->state.advising_daemons);
-  if (step.advice->query_pending || now < step.advice->retry_at) {
+  if (step.advice->query_pending || now < step.advice->retry_at ||
+      now < step.advice->no_runner_until[static_cast<std::size_t>(step.kept)]) {
+    this->take_from_window(step, now);
     return;
   }
+  pool_round::advice_use& use = this->advice_use_for(step);
+  const double window = static_cast<double>(this->options.advice_window.value) *
+                        static_cast<double>(this->state.advising_daemons);
   const std::size_t most = this->options.queries_per_daemon * this->state.advising_daemons;
-  if (!in_window || round.queries >= most) {
+  if (use.time_ms + this->usual_query_ms(step) > window || use.queries >= most) {
+    use.time_ms = window;
+    step.advice->put_off(now);
+    this->deferred.push_back(&step);
     ++out.deferred_queries;
     return;
   }
-  const std::vector<runner_state*> chosen = this->runners_to_query(step, now);
+  this->add_query(step, false, now, out);
+  this->take_from_window(step, now);
+}
+
+// A step takes its usual query's time from the window while its query is under way and while it
+// holds tickets. A step that no query can help takes nothing: it would keep the service from all
+// less urgent steps for as long as it waits.
+void placer::take_from_window(const waiting_step& step, instant now) {
+  const bool uses_service = step.advice->query_pending || this->queried.contains(step.ref) ||
+                            step.advice->holds_ticket(now);
+  if (uses_service && this->in_window.insert(step.ref).second) {
+    const bool out_of_turn = step.advice->query_pending && step.advice->pending_out_of_turn;
+    this->pools[step.pool.text].pending_out_of_turn += out_of_turn ? 1 : 0;
+    this->advice_use_for(step).time_ms += this->usual_query_ms(step);
+  }
+}
+
+// Steps that have waited too long for a query: those in the window, which found no free daemon so
+// far, and the deferred ones.
+placer::overdue_by_pool placer::overdue_steps(instant now, plan& out) {
+  overdue_by_pool overdue;
+  const auto add = [&](const step_ref& ref, const pool_id& pool, const waiting_step* deferred) {
+    const advice_cache::step_advice& advice = this->state.advice.entry_for(ref);
+    const millis waited = advice.waited(now);
+    out.longest_query_wait = std::max(out.longest_query_wait, waited);
+    if (waited >= this->options.max_query_wait && now >= advice.next_turn) {
+      overdue[pool.text].push_back({advice.wanted_since, ref, deferred});
+    }
+  };
+  for (const advice_query& query : out.advice_queries) {
+    add(query.step, query.pool, nullptr);
+  }
+  for (const waiting_step* step : this->deferred) {
+    add(step->ref, step->pool, step);
+  }
+  for (auto& [pool, steps] : overdue) {
+    std::sort(steps.begin(), steps.end(), [](const overdue_step& a, const overdue_step& b) {
+      return std::tie(a.since, a.ref) < std::tie(b.since, b.ref);
+    });
+  }
+  return overdue;
+}
+
+// The services take their turns apart from each other, so that one with hundreds of steps that wait
+// does not keep the few of another waiting.
+void placer::query_out_of_turn(instant now, plan& out) {
+  const overdue_by_pool overdue = this->overdue_steps(now, out);
+  if (overdue.empty()) {
+    return;
+  }
+  const auto share = static_cast<std::size_t>(this->options.out_of_turn_share *
+                                              static_cast<double>(this->state.advising_daemons));
+  const std::size_t most_of_pool = std::max<std::size_t>(share / overdue.size(), 1);
+  std::set<step_ref> chosen;
+  for (const auto& [pool, steps] : overdue) {
+    std::size_t under_way = this->pools[pool].pending_out_of_turn;
+    std::size_t considered = 0;
+    for (const overdue_step& each : steps) {
+      if (under_way >= most_of_pool || ++considered > this->options.max_considered_out_of_turn) {
+        break;
+      }
+      if (each.deferred != nullptr && !this->queried.contains(each.ref)) {
+        this->state.advice.entry_for(each.ref).next_turn = now + this->options.helpless_retry_delay;
+        this->add_query(*each.deferred, true, now, out);
+      }
+      under_way += this->queried.contains(each.ref) && chosen.insert(each.ref).second ? 1 : 0;
+    }
+  }
+  for (advice_query& query : out.advice_queries) {
+    query.out_of_turn = chosen.contains(query.step);
+  }
+  std::stable_partition(out.advice_queries.begin(), out.advice_queries.end(),
+                        [](const advice_query& query) { return query.out_of_turn; });
+}
+
+double placer::usual_query_ms(const waiting_step& step) {
+  const advice_config& terms = *step.queue->advice;
+  const std::size_t named =
+      std::min(this->pools[step.pool.text].runners.size(), this->options.runners_per_query);
+  return terms.per_call_ms + terms.per_runner_ms * static_cast<double>(named);
+}
+
+placer::pool_round::advice_use& placer::advice_use_for(const waiting_step& step) {
+  pool_round& round = this->pools[step.pool.text];
+  const bool is_long = this->usual_query_ms(step) > static_cast<double>(long_query_time.value);
+  return is_long ? round.long_queries : round.short_queries;
+}
+
+void placer::add_query(const waiting_step& step, bool only_with_room, instant now, plan& out) {
+  const std::vector<query_candidate> chosen = this->runners_to_query(step, now);
+  if (!chosen.empty() && only_with_room && chosen.front().starts <= 0) {
+    return;
+  }
   if (chosen.empty()) {
-    step.advice->retry_at = now + this->options.query_retry_delay;
+    const bool holds_ticket = step.advice->holds_ticket(now);
+    step.advice->wanted_since = never;
+    step.advice->no_runner_until[static_cast<std::size_t>(step.kept)] =
+        now + (holds_ticket ? this->options.query_retry_delay : this->options.helpless_retry_delay);
     return;
   }
-  ++round.queries;
-  advice_query query{step.ref, terms, {}};
-  for (const runner_state* runner : chosen) {
-    query.runners.push_back(runner->entry.id);
+  ++this->advice_use_for(step).queries;
+  this->queried.insert(step.ref);
+  advice_query query{step.ref, *step.queue->advice, {}, step.pool};
+  for (const query_candidate& each : chosen) {
+    query.runners.push_back(each.runner->entry.id);
   }
   out.advice_queries.push_back(std::move(query));
 }
 
+// False if the runner is not of the kind that the step needs, if it is too small, or if it is
+// taken up by runs that last: advice about it is of no use to the step.
+bool placer::may_ever_start(const waiting_step& step, const runner_state& runner) const {
+  const std::string& label = step.shape->required_label;
+  if (!label.empty() && !runner.has_label(label)) {
+    return false;
+  }
+  resources left = runner.entry.capacity;
+  for (const auto& [key, run] : runner.allocations) {
+    const bool lasts = run.expected.value <= 0 && !run.stopping;
+    if (!lasts) {
+      continue;
+    }
+    left = left - run.capacity_used;
+    const bool same_gang = step.shape->gang && key.task.in == step.ref;
+    if (!same_gang && (step.kept == isolation::alone || run.kept == isolation::alone)) {
+      return false;
+    }
+  }
+  return allocated_resources(*step.shape).fits(left);
+}
+
 std::size_t placer::tasks_to_query_for(const waiting_step& step) {
   return step.tasks.size() + step.soon_waiting;
 }
@@ -152,6 +274,9 @@
         !step.shape->need.fits(runner->entry.capacity)) {
       continue;
     }
+    if (!this->may_ever_start(step, *runner)) {
+      continue;
+    }
     const bool usable = this->permitted(step, *runner) && may_share(step, *runner) &&
                         !this->blocked_by_reservation(step, *runner, now);
     const double fit = usable ? this->starts_that_fit(step, *runner) : 0;
@@ -159,6 +284,10 @@
       startable += fit;
       continue;
     }
+    if (asked && fit <= 0 && step.kept == isolation::alone &&
+        this->fits_at(*runner, runner->entry.capacity, step, now) > needed_until) {
+      continue;  // It will not be empty before the ticket expires.
+    }
     const std::size_t tie_break = std::hash<std::string>{}(id) * (2 * salt + 1);
     out.push_back({runner, fit * (asked ? 1 : good_share), asked, tie_break});
   }
@@ -188,7 +317,8 @@
 // Returns as many runners as the step probably needs in addition to the starts that it has
 // tickets for. Only if the cell is too full for that, runners without free capacity are
 // added: those that no query has named yet or, if there are none, known good ones.
-std::vector<runner_state*> placer::runners_to_query(const waiting_step& step, instant now) {
+std::vector<placer::query_candidate> placer::runners_to_query(const waiting_step& step,
+                                                              instant now) {
   double starts = 0;
   std::vector<query_candidate> candidates = this->query_candidates(step, now, starts);
   const double needed = this->starts_needed(step);
@@ -196,7 +326,7 @@
     return {};
   }
   std::sort(candidates.begin(), candidates.end(), precedes_in_query);
-  std::vector<runner_state*> chosen;
+  std::vector<query_candidate> chosen;
   bool unasked_without_capacity = false;
   for (const query_candidate& o : candidates) {
     const bool fits = o.starts > 0;
@@ -209,7 +339,7 @@
     }
     unasked_without_capacity = unasked_without_capacity || (!fits && !o.asked);
     starts += o.starts;
-    chosen.push_back(o.runner);
+    chosen.push_back(o);
   }
   return chosen;
 }
