Suspects of a step are tried alone one at a time

Cause: each task under which three runners crashed takes a whole runner of its own, although its job is over as soon as one of them is given up. Now one of a step is tried at a time.

--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -165,13 +165,27 @@
 
 void placer::split_by_isolation(waiting_step step, const live_step& tasks,
                                 std::vector<waiting_step>& out) {
+  // True while a task of the step that is to be alone has a run.
+  const bool tried_alone =
+      std::any_of(tasks.tasks.begin(), tasks.tasks.end(), [](const live_task& task) {
+        return task.phase == task_phase::placed &&
+               isolation_after(task.crashes) == isolation::alone;
+      });
   std::map<isolation, std::vector<std::int32_t>> by_isolation;
   for (const std::int32_t index : step.tasks) {
     const live_task& task = tasks.tasks[static_cast<std::size_t>(index)];
-    by_isolation[isolation_after(task.crashes)].push_back(index);
+    const isolation kept = isolation_after(task.crashes);
+    // One at a time: if it is given up, so is its job, and the others need no runner of their own.
+    const bool waits_for_other = kept == isolation::alone && !step.shape->gang &&
+                                 (tried_alone || by_isolation.contains(kept));
+    if (!waits_for_other) {
+      by_isolation[kept].push_back(index);
+    }
   }
   if (by_isolation.empty()) {
-    out.push_back(std::move(step));  // Only asks for advice.
+    step.tasks.clear();
+    step.query_only = true;
+    out.push_back(std::move(step));
     return;
   }
   for (auto& [kept, indices] : by_isolation) {
--- a/src/decide/testing/placer_test.cc
+++ b/src/decide/testing/placer_test.cc
@@ -436,6 +436,19 @@
   CHECK(p.placements.size() == 4);
 }
 
+// Guards against a step of suspects that takes a runner of its own for each of its tasks, although
+// its job is over as soon as one of them is given up.
+TEST_CASE("The suspects of a step are tried alone one at a time") {
+  cell_builder cell;
+  for (const char* id : {"a", "b", "c"}) {
+    cell.add_runner(id, small_runner);
+  }
+  set_crashes(cell.add_job("j", cell_builder::step(3, small_task)), crashes_until_alone);
+  placer planner(cell.state);
+  CHECK(planner.decide(cell.now, cell.now.value).placements.size() == 1);
+  CHECK(planner.decide(cell.now, cell.now.value).placements.empty());
+}
+
 TEST_CASE("A runner is emptied for a task that is to be alone") {
   cell_builder cell;
   cell.add_runner("a", small_runner);
