A lasting step passes a reservation after 2 s

Cause: a run past its estimate counts as one that ends now, so the gang reserves all runners as from now on, and lasting work ends before no reservation. Now a lasting step that has found no runner for 2 s passes. Before: its test in placer_test fails; after: it passes, all of decide_test as well.

--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -42,6 +42,8 @@
   this->reservations.clear();
   this->previous_reservations.swap(this->new_reservations);
   this->new_reservations.clear();
+  this->held_since.swap(this->still_held);
+  this->still_held.clear();
   this->deferred.clear();
   this->queried.clear();
   this->in_window.clear();
@@ -224,6 +226,10 @@
     }
     return;
   }
+  if (step.shape->long_running) {
+    const auto held = this->held_since.find(step.ref);
+    this->still_held.emplace(step.ref, held != this->held_since.end() ? held->second : now);
+  }
   if (this->may_reserve(step)) {
     this->reserve_runners(step, now, out);
   }
--- a/src/decide/placer.h
+++ b/src/decide/placer.h
@@ -121,6 +121,8 @@
   // Without a reservation it would starve beside a stream of small tasks, which take all
   // capacity that becomes free.
   double large_task_share = 0.25;
+  // A lasting step that has waited for so long may start on runners that others have reserved.
+  millis max_hold{2'000};
   // Usual time from the command to stop a run until its capacity is free.
   millis stop_time{400};
   // A preempted run waits up to this long for its next start, so only runs with this
@@ -342,6 +344,9 @@
   // to runner would never see any of them become empty.
   std::map<step_ref, std::vector<std::string>> previous_reservations;
   std::map<step_ref, std::vector<std::string>> new_reservations;
+  // Since when lasting steps have found no runner, as of the last round.
+  std::map<step_ref, instant> held_since;
+  std::map<step_ref, instant> still_held;  // The same, of the current round.
 };
 
 }  // namespace monsoonmux::cell
--- a/src/decide/placer_reservations.cc
+++ b/src/decide/placer_reservations.cc
@@ -202,7 +202,8 @@
   }
 }
 
-// A reservation does not block work that ends before the reserving step could start.
+// A reservation does not block work that ends before the reserving step could start, nor lasting
+// work for longer than max_hold: no end of the reserving step's wait is certain.
 bool placer::blocked_by_reservation(const waiting_step& step, const runner_state& runner,
                                     instant now) const {
   const auto it = this->reservations.find(runner.entry.id);
@@ -210,6 +211,10 @@
       (it->second.by == step.ref && it->second.kept == step.kept)) {
     return false;
   }
+  const auto held = this->held_since.find(step.ref);
+  if (held != this->held_since.end() && now - held->second >= this->options.max_hold) {
+    return false;
+  }
   const reservation& other = it->second;
   const bool would_be_preemptible =
       step.shape->checkpoints && !step.shape->gang && !step.shape->long_running &&
--- a/src/decide/testing/placer_test.cc
+++ b/src/decide/testing/placer_test.cc
@@ -216,6 +216,41 @@
   }
 }
 
+// Guards against a lasting job that waited behind a gang's reservation for as long as runs that
+// were past their estimate kept the gang waiting.
+TEST_CASE("A lasting task does not wait for long behind a reservation") {
+  cell_builder cell;
+  constexpr resources whole{millicores{8'000}, mebibytes{8'000}, devices{0}};
+  constexpr resources half_core{millicores{500}, mebibytes{100}, devices{0}};
+  constexpr resources most{millicores{7'800}, mebibytes{100}, devices{0}};
+  for (const char* id : {"a", "b", "c", "d"}) {
+    cell.add_runner(id, whole);
+  }
+  placer planner(cell.state);
+  step_spec past_estimate = cell_builder::step(4, half_core);
+  past_estimate.anti_affinity = 1;
+  cell.add_job("long", past_estimate);
+  REQUIRE(planner.decide(cell.now, cell.now.value).placements.size() == 4);
+  cell.now = cell.now + millis{2'000};
+  step_spec gang = cell_builder::step(4, most);
+  gang.gang = true;
+  cell.add_job("gang", gang);
+  step_spec lasting = cell_builder::step(1, half_core);
+  lasting.long_running = true;
+  cell.queue().stretch = 50;  // The gang is in time for as long as the test lasts.
+  cell.add_queue("later", 1, 2);
+  job_spec later;
+  later.steps = {lasting};
+  cell.add_job("lasting", later, "t", "later");
+  constexpr millis bound{3'000};
+  bool started = false;
+  for (const instant until = cell.now + bound; cell.now < until && !started;) {
+    started = !planner.decide(cell.now, cell.now.value).placements.empty();
+    cell.now = cell.now + millis{50};
+  }
+  CHECK(started);
+}
+
 TEST_CASE("Labels and anti-affinity are respected, and the rack of the data is preferred") {
   cell_builder cell;
   cell.add_runner("a", small_runner, "r1");
