A task that runs on after its crashes shares its runner again

Cause: nothing lowers the count of crashes under a task, and a lasting task is never over. Now a run that has lasted for longer than the task's crashes took to come, by the runner's own answers, ends the isolation; a lasting task's crashes are forgotten. For others they still count: the number of starts is bounded (BUDGET). Ruled out: a reservation (claimed is 0).

--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -245,6 +245,7 @@
     session->tick();
   }
   this->note_ending_runs();
+  this->acquit_tasks();
   this->state.runners.quarantine_stalled(this->services.time.now());
   this->report_load();
   this->save_run_times();
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -161,6 +161,9 @@
   // Logs that a runner crashed under the run, and whether the task is given up for it.
   void report_crash(const std::string& runner, const run_key& run, const live_task& task,
                     const end_effect& effect);
+  // Ends the isolation of tasks that have run for longer than their crashes took to come.
+  void acquit_tasks();
+  bool has_acquitted_itself(const std::string& runner, const run_key& run);
   // Counts the crash under the runs whose lease lapsed before the runner was back.
   void count_late_crashes(const runner_entry& entry);
   void count_late_crash(const std::string& runner, const run_key& run);
--- a/src/cell/leader_crashes.cc
+++ b/src/cell/leader_crashes.cc
@@ -11,6 +11,11 @@
 
 // A lasting task that has run for so long is not the cause of its runner's crash.
 constexpr millis harmless_after{30'000};
+// A crash is found within this time at most, if the task has crashed its runner at once. It counts
+// for crashes that a previous leader has seen.
+constexpr millis usual_time_to_crash{8'000};
+// A task that has run for this much longer than its crashes took to come is not their cause.
+constexpr millis acquittal_margin{500};
 
 }  // namespace
 
@@ -44,6 +49,50 @@
   return run_outcome::crashed;
 }
 
+bool leader::has_acquitted_itself(const std::string& runner, const run_key& run) {
+  const auto it = this->state.jobs.find(run.task.in.job);
+  const live_task* const task = it == this->state.jobs.end() ? nullptr : it->second.find(run.task);
+  if (task == nullptr || task->phase != task_phase::placed || task->run != run.run) {
+    return false;
+  }
+  const step_spec& shape = it->second.spec().steps[static_cast<std::size_t>(run.task.in.step)];
+  const millis known = task->time_to_crash.value > 0 ? task->time_to_crash : usual_time_to_crash;
+  const millis enough = known + acquittal_margin;
+  const millis bound = shape.long_running ? std::min(enough, harmless_after) : enough;
+  return this->session_of(runner).known_to_run(run) > bound;
+}
+
+// A count of crashes that nothing lowers would keep the runner of a lasting task, which is never
+// over, from all other work for good.
+void leader::acquit_tasks() {
+  for (auto& [id, runner] : this->state.runners.all()) {
+    if (runner.suspect_runs == 0) {
+      continue;
+    }
+    std::vector<run_key> acquitted;
+    for (const auto& [run, allocated] : runner.allocations) {
+      if (allocated.kept != isolation::none && this->has_acquitted_itself(id, run)) {
+        acquitted.push_back(run);
+      }
+    }
+    for (const run_key& run : acquitted) {
+      live_job& job = this->state.jobs.at(run.task.in.job);
+      this->services.events.write("task_acquitted",
+                                  {{"task", run.task.text()},
+                                   {"run", run.run},
+                                   {"runner", id},
+                                   {"crashes", job.find(run.task)->crashes},
+                                   {"ran_ms", this->session_of(id).known_to_run(run).value},
+                                   {"time_to_crash_ms", job.find(run.task)->time_to_crash.value}});
+      this->services.metrics.count("tasks_acquitted");
+      job.acquit(run.task);
+      this->state.runners.acquit(id, run);
+      this->writer.write(run.task.in.job);
+      this->request_plan();
+    }
+  }
+}
+
 void leader::report_crash(const std::string& runner, const run_key& run, const live_task& task,
                           const end_effect& effect) {
   const nlohmann::ordered_json fields{{"task", run.task.text()},
--- a/src/cell/leader_run_ends.cc
+++ b/src/cell/leader_run_ends.cc
@@ -60,7 +60,7 @@
     return;
   }
   live_job& job = it->second;
-  const live_task* const task = job.find(run.task);
+  live_task* const task = job.find(run.task);
   // The duration of a run that was observed only in part, because it was inherited from a
   // previous leader or resumed, is no sample of how long the task takes.
   const bool current = task != nullptr && task->phase == task_phase::placed && task->run == run.run;
@@ -72,6 +72,7 @@
     return;
   }
   if (how == run_outcome::crashed) {
+    task->time_to_crash = std::max(task->time_to_crash, this->services.time.now() - placed_at);
     this->report_crash(runner, run, *task, effect);
   }
   for (const superseded_run& later : effect.superseded) {
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -86,6 +86,9 @@
   bool out_of_contact() const;
   // True if the runner has answered under our token and not restarted since, as far as known.
   bool is_admitted() const { return this->admitted; }
+  // For how long the run is known to have run: from the answer to its start, or the first report
+  // of it, to the runner's last answer. 0 if it has not answered for the run, or is to be stopped.
+  millis known_to_run(const run_key& run) const;
   // All leases on the runner have ended then, if none is granted from now on.
   instant lease_end() const { return this->leases_expire_at; }
   // When the runs on the runner are given up if it stays out of contact; `never` if it is in
--- a/src/cell/runner_session_reports.cc
+++ b/src/cell/runner_session_reports.cc
@@ -104,6 +104,15 @@
   }
 }
 
+millis runner_session::known_to_run(const run_key& run) const {
+  const auto it = this->runs.find(run);
+  if (it == this->runs.end() || it->second.answered_at == instant{0} || it->second.stopping ||
+      !this->admitted || this->incarnation_uncertain) {
+    return millis{0};
+  }
+  return std::max(millis{0}, this->runner_time.alive_at() - it->second.answered_at);
+}
+
 bool runner_session::lists(const poll_report& report, const run_key& run) {
   const std::string name = run.task.text();
   return std::any_of(report.running.begin(), report.running.end(),
--- a/src/cell/testing/deadly_task_test.cc
+++ b/src/cell/testing/deadly_task_test.cc
@@ -226,6 +226,38 @@
   });
 }
 
+// Guards against review/4: nothing lowered the count of crashes, so a lasting task whose runner
+// had crashed three times kept that runner from all other work for as long as it lasted.
+TEST_CASE("A lasting task that runs on after its crashes shares its runner again") {
+  for_all_seeds([](deadly_fixture& f) {
+    const std::string kind = "kind-b";
+    fake_runner& runner = *f.cell.runners.back();
+    runner.entry.labels = {kind};
+    f.cell.store.put("runners", runner.entry.id, "2");
+    f.cell.loop.run_for(millis{500});
+    job_spec lasting = fake_cell::simple_job(1);
+    lasting.steps[0].long_running = true;
+    lasting.steps[0].required_label = kind;
+    f.submit(0, lasting);
+    constexpr millis until_crash{3'000};
+    constexpr millis back_and_found{10'000};
+    for (int i = 0; i < 3; ++i) {
+      f.cell.loop.run_for(until_crash);
+      runner.crash_for_a_while();
+      f.cell.loop.run_for(back_and_found);
+    }
+    job_spec other = fake_cell::simple_job(1);
+    other.steps[0].required_label = kind;
+    f.submit(1, other);
+    // By then the lasting task has run for longer than its crashes took to come, and the users' 3 s
+    // for a task that could run are over.
+    constexpr millis bound{10'000};
+    f.cell.loop.run_for(bound);
+    CHECK(f.cell.phase(job_name(1)) == job_phase::completed);
+    CHECK(f.cell.phase(job_name(0)) == job_phase::running);
+  });
+}
+
 TEST_CASE("Nobody is given up because a third of the runners crash three times in a row") {
   for_all_seeds([](deadly_fixture& f) {
     constexpr int jobs = 6;
--- a/src/decide/cell_state.cc
+++ b/src/decide/cell_state.cc
@@ -31,7 +31,7 @@
   const queue_config* const entry = state.config.find_queue(queue);
   out.priority = entry != nullptr ? entry->priority : 0;
   const live_task* const state_of_task = job.find(task);
-  out.kept = isolation_after(state_of_task != nullptr ? state_of_task->crashes : 0);
+  out.kept = state_of_task != nullptr ? isolation_of(*state_of_task) : isolation::none;
   out.resumable =
       shape.checkpoints && !shape.gang && !shape.long_running && out.kept != isolation::alone;
   if (!shape.long_running) {
--- a/src/decide/live_job.cc
+++ b/src/decide/live_job.cc
@@ -55,6 +55,10 @@
   return at == end ? std::optional(out) : std::nullopt;
 }
 
+isolation isolation_of(const live_task& task) {
+  return task.acquitted ? isolation::none : isolation_after(task.crashes);
+}
+
 bool live_occurrence::complete() const {
   return std::all_of(this->steps.begin(), this->steps.end(),
                      [](const live_step& step) { return step.complete(); });
@@ -155,6 +159,7 @@
   t.placed_at = now;
   t.inherited = false;
   t.alone = false;
+  t.acquitted = false;
   t.resumed = !this->checkpoint_of(task).empty();
   if (this->state == job_phase::queued) {
     this->state = job_phase::running;
@@ -210,6 +215,7 @@
     this->finish_done(step, shape, *t);
   } else {
     t->phase = task_phase::waiting;
+    t->acquitted = false;
   }
   if (outcome == run_outcome::failed) {
     this->count_failure(step, shape, *t);
@@ -322,6 +328,15 @@
   return effect;
 }
 
+void live_job::acquit(const task_ref& task) {
+  live_task& t = *this->find(task);
+  t.acquitted = true;
+  t.alone = false;
+  if (this->spec().steps[static_cast<std::size_t>(task.in.step)].long_running) {
+    t.crashes = 0;
+  }
+}
+
 std::string live_job::checkpoint_of(const task_ref& task) const {
   const live_step& step =
       this->open_occurrences.at(task.in.occurrence).steps[static_cast<std::size_t>(task.in.step)];
--- a/src/decide/live_job.h
+++ b/src/decide/live_job.h
@@ -24,6 +24,11 @@
   std::int32_t crashes = 0;      // Runs under which the runner crashed.
   std::int32_t crashed_run = 0;  // The latest of these.
   bool alone = false;            // Nothing else was or will be placed on its runner.
+  // The longest time from a placement of the task until its runner was found to have crashed;
+  // 0: this leader has seen no crash under it.
+  millis time_to_crash{0};
+  // The present run has lasted for longer than the task's crashes took to come.
+  bool acquitted = false;
   std::string runner;
   std::int64_t runner_incarnation = 0;
   std::string checkpoint;
@@ -34,6 +39,9 @@
   bool resumed = false;  // The run began from a checkpoint of an earlier one.
 };
 
+// How far the task's present or next run is kept from others.
+isolation isolation_of(const live_task& task);
+
 struct live_step {
   std::vector<live_task> tasks;
   std::int32_t done = 0;
@@ -99,6 +107,10 @@
                     const std::string& checkpoint);
   // A run that was taken for lost was on a runner that has crashed, as is known now.
   end_effect crashed_after_all(const task_ref& task, std::int32_t run);
+  // The task has run for longer than its crashes took to come, so it is not their cause: its run
+  // is not kept from others any more. A lasting task's crashes are forgotten; for others they still
+  // count, as the number of their starts is bounded.
+  void acquit(const task_ref& task);
   // The checkpoint that the task's next run resumes from; empty: it starts afresh.
   std::string checkpoint_of(const task_ref& task) const;
   // Marks the job as cancelled: no task starts any more. The caller stops placed runs.
--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -170,13 +170,12 @@
   // True while a task of the step that is to be alone has a run.
   const bool tried_alone =
       std::any_of(tasks.tasks.begin(), tasks.tasks.end(), [](const live_task& task) {
-        return task.phase == task_phase::placed &&
-               isolation_after(task.crashes) == isolation::alone;
+        return task.phase == task_phase::placed && isolation_of(task) == isolation::alone;
       });
   std::map<isolation, std::vector<std::int32_t>> by_isolation;
   for (const std::int32_t index : step.tasks) {
     const live_task& task = tasks.tasks[static_cast<std::size_t>(index)];
-    const isolation kept = isolation_after(task.crashes);
+    const isolation kept = isolation_of(task);
     // One at a time: if it is given up, so is its job, and the others need no runner of their own.
     const bool waits_for_other = kept == isolation::alone && !step.shape->gang &&
                                  (tried_alone || by_isolation.contains(kept));
--- a/src/decide/runner_table.cc
+++ b/src/decide/runner_table.cc
@@ -33,6 +33,7 @@
   state.latency_sensitive_runs += run.latency_sensitive ? sign : 0;
   state.runs_of_unknown_need += run.need_known ? 0 : sign;
   state.runs_kept_alone += run.kept == isolation::alone ? sign : 0;
+  state.suspect_runs += run.kept != isolation::none ? sign : 0;
 }
 
 bool runner_table::add(const std::string& id, const allocation& run) {
@@ -65,6 +66,17 @@
   return true;
 }
 
+void runner_table::acquit(const std::string& id, const run_key& key) {
+  runner_state* const state = this->find(id);
+  if (state == nullptr || !state->allocations.contains(key)) {
+    return;
+  }
+  allocation& run = state->allocations.at(key);
+  count(*state, run, -1);
+  run.kept = isolation::none;
+  count(*state, run, 1);
+}
+
 void runner_table::quarantine_stalled(instant now) {
   for (auto& [id, runner] : this->by_id) {
     std::int32_t overdue = 0;
--- a/src/decide/runner_table.h
+++ b/src/decide/runner_table.h
@@ -57,6 +57,7 @@
   std::int32_t latency_sensitive_runs = 0;
   std::int32_t runs_of_unknown_need = 0;
   std::int32_t runs_kept_alone = 0;
+  std::int32_t suspect_runs = 0;  // Those kept apart or alone.
   std::int32_t consecutive_failures = 0;
   instant quarantined_until{0};  // No new work is placed on it before this time.
   // When its runs are given up if it stays out of contact; `never` while it is in contact.
@@ -101,6 +102,8 @@
   bool add(const std::string& id, const allocation& run);
   // Releases the capacity of the run; false if the runner has no such run.
   bool remove(const std::string& id, const run_key& key);
+  // The run is not kept from others any more.
+  void acquit(const std::string& id, const run_key& key);
   // True if an untracked run of the task is on some runner, so that starting the task
   // would run it twice.
   bool has_untracked_run(const task_ref& task) const { return this->untracked.contains(task); }
--- a/src/decide/testing/live_job_test.cc
+++ b/src/decide/testing/live_job_test.cc
@@ -236,6 +236,21 @@
   CHECK_FALSE(job.crashed_after_all(task(0), 1).counted);
 }
 
+TEST_CASE("A task that runs on after its crashes is acquitted; a lasting one begins anew") {
+  const bool lasts = GENERATE(false, true);
+  step_spec step = tasks(1);
+  step.long_running = lasts;
+  live_job job = make_job(step);
+  crash(job, crashes_until_alone);
+  job.place(task(0), 4, "r", 0, now);
+  CHECK(isolation_of(*job.find(task(0))) == isolation::alone);
+  job.acquit(task(0));
+  CHECK(isolation_of(*job.find(task(0))) == isolation::none);
+  CHECK(job.find(task(0))->crashes == (lasts ? 0 : crashes_until_alone));
+  job.finish(task(0), 4, run_outcome::stopped, {});
+  CHECK(isolation_of(*job.find(task(0))) == (lasts ? isolation::none : isolation::alone));
+}
+
 TEST_CASE("Crashes of runners do not use up attempts") {
   live_job job = make_job(tasks(1), 1);
   crash(job, 3);
