A failed run of a gang counts once, also over a takeover

Cause: which run of a gang had counted was kept in memory only. If one member's failure is in the log and another member of the same run fails under the next leader, the run counts twice. Now each member counts its own failures and begins a run with the highest count of all, so the records hold all that a successor needs; their format is the same.

--- a/src/decide/live_job.cc
+++ b/src/decide/live_job.cc
@@ -1,7 +1,8 @@
 // The members of a gang share one run number. A member whose run ended is waiting, but
 // the gang starts again only when no member is placed any more, so two runs of one member
 // never overlap. If one member is done, all are; a failed run of the gang counts once,
-// however many members report it.
+// however many members report it: each counts its own failures, and begins a run with the highest
+// count of all. So nothing but the counts has to be known to a successor.
 
 #include "decide/live_job.h"
 
@@ -160,6 +161,7 @@
   t.inherited = false;
   t.alone = false;
   t.acquitted = false;
+  t.failures = this->failures_of(task);
   t.resumed = !this->checkpoint_of(task).empty();
   if (this->state == job_phase::queued) {
     this->state = job_phase::running;
@@ -179,6 +181,23 @@
   return highest + 1;
 }
 
+std::int32_t live_job::failures_of(const task_ref& task) const {
+  const live_step& step =
+      this->open_occurrences.at(task.in.occurrence).steps[static_cast<std::size_t>(task.in.step)];
+  if (!this->spec().steps[static_cast<std::size_t>(task.in.step)].gang) {
+    return step.tasks[static_cast<std::size_t>(task.index)].failures;
+  }
+  std::int32_t highest = 0;
+  for (const live_task& member : step.tasks) {
+    highest = std::max(highest, member.failures);
+  }
+  return highest;
+}
+
+bool live_job::out_of_attempts(const step_spec& shape, const live_task& task) const {
+  return !shape.long_running && task.failures >= this->max_attempts;
+}
+
 void live_job::mark_done(live_step& step, live_task& task) {
   if (task.phase != task_phase::done) {
     task.phase = task_phase::done;
@@ -218,15 +237,15 @@
     t->acquitted = false;
   }
   if (outcome == run_outcome::failed) {
-    this->count_failure(step, shape, *t);
+    count_failure(*t);
   }
   if (outcome == run_outcome::crashed) {
     this->count_crash(step, shape, *t, run);
     this->apply_crash_bound(*t, t->alone, effect);
   }
   effect.step_done = step.complete();
-  const bool out_of_attempts = !shape.long_running && t->failures >= this->max_attempts;
-  if (outcome == run_outcome::failed && out_of_attempts && !is_final(this->state)) {
+  if (outcome == run_outcome::failed && this->out_of_attempts(shape, *t) &&
+      !is_final(this->state)) {
     this->state = job_phase::failed;
     effect.job_final = true;
   }
@@ -270,20 +289,10 @@
   }
 }
 
-void live_job::count_failure(live_step& step, const step_spec& shape, live_task& task) {
+void live_job::count_failure(live_task& task) {
   task.last_failed_on = task.runner;
-  if (!shape.gang) {
-    ++task.failures;
-    return;
-  }
-  if (task.failed_run == task.run) {
-    return;
-  }
-  const std::int32_t failed_run = task.run;
-  for (live_task& member : step.tasks) {
-    ++member.failures;
-    member.failed_run = failed_run;
-  }
+  task.failed_runs.push_back({task.run, task.runner});
+  ++task.failures;
 }
 
 // Counts once for a run of a gang, however many runners crashed under its members.
--- a/src/decide/live_job.h
+++ b/src/decide/live_job.h
@@ -20,7 +20,6 @@
   task_phase phase = task_phase::waiting;
   std::int32_t run = 0;
   std::int32_t failures = 0;
-  std::int32_t failed_run = 0;   // Gangs only: the latest run that counted as a failure.
   std::int32_t crashes = 0;      // Runs under which the runner crashed.
   std::int32_t crashed_run = 0;  // The latest of these.
   bool alone = false;            // Nothing else was or will be placed on its runner.
@@ -33,7 +32,13 @@
   std::int64_t runner_incarnation = 0;
   std::string checkpoint;
   std::string last_failed_on;  // Runner of the latest failed run.
-  instant placed_at;           // If inherited: when the current leader took the task over.
+  // The failed runs that this leader has counted.
+  struct failed_run {
+    std::int32_t run = 0;
+    std::string runner;
+  };
+  std::vector<failed_run> failed_runs;
+  instant placed_at;  // If inherited: when the current leader took the task over.
   // Placed by a previous leader, so it is unknown for how long the run has been running.
   bool inherited = false;
   bool resumed = false;  // The run began from a checkpoint of an earlier one.
@@ -127,7 +132,10 @@
                                                    const live_step& step, const step_spec& shape);
   void mark_done(live_step& step, live_task& task);
   void finish_done(live_step& step, const step_spec& shape, live_task& task);
-  void count_failure(live_step& step, const step_spec& shape, live_task& task);
+  bool out_of_attempts(const step_spec& shape, const live_task& task) const;
+  static void count_failure(live_task& task);
+  // Failed runs of the task; of a gang, of any member.
+  std::int32_t failures_of(const task_ref& task) const;
   void count_crash(live_step& step, const step_spec& shape, live_task& task, std::int32_t run);
   // Gives the job up if too many runners have crashed under the task.
   void apply_crash_bound(const live_task& task, bool was_alone, end_effect& effect);
--- a/src/decide/testing/live_job_test.cc
+++ b/src/decide/testing/live_job_test.cc
@@ -150,6 +150,38 @@
   CHECK(job.phase() == job_phase::failed);
 }
 
+// Guards against a gang's failure that counted twice: its members fail together, and the leader
+// changes in between.
+TEST_CASE("A failed run of a gang counts once, also over a takeover") {
+  live_job job = make_job(tasks(2, true), 2);
+  job.place(task(0), 1, "r", 0, now);
+  job.place(task(1), 1, "s", 0, now);
+  CHECK_FALSE(job.finish(task(0), 1, run_outcome::failed, {}).job_final);
+  const auto saved = decode_progress(encode(job.progress(epoch{4})));
+  REQUIRE(saved.has_value());
+  live_job back(job.submission(), saved, 2, now, now);
+  CHECK_FALSE(back.finish(task(1), 1, run_outcome::failed, {}).job_final);
+  back.place(task(0), 2, "r", 0, now);
+  back.place(task(1), 2, "s", 0, now);
+  CHECK(back.find(task(0))->failures == 1);
+  CHECK(back.find(task(1))->failures == 1);
+  CHECK(back.finish(task(1), 2, run_outcome::failed, {}).job_final);
+}
+
+TEST_CASE("A gang of which a different member fails in each run is out of attempts in time") {
+  constexpr std::int32_t attempts = 3;
+  live_job job = make_job(tasks(3, true), attempts);
+  for (std::int32_t run = 1; run <= attempts; ++run) {
+    for (std::int32_t member = 0; member < 3; ++member) {
+      job.place(task(member), run, "r", 0, now);
+    }
+    CHECK(job.finish(task(run - 1), run, run_outcome::failed, {}).job_final == (run == attempts));
+    for (std::int32_t member = 0; member < 3; ++member) {
+      job.finish(task(member), run, run_outcome::stopped, {});
+    }
+  }
+}
+
 TEST_CASE("A gang starts again under the next run number when the runs of all members have ended") {
   live_job job = make_job(tasks(3, true), 2);
   for (int i = 0; i < 3; ++i) {
