Attempts: the newest known configuration counts, also the one a job was accepted under

Cause: a job took its attempts once, from the leader's configuration at that moment; a queue that it did not know, or not any more, counted as one attempt, and a number that was raised later did not count. Now the submission records the attempts and the version that it was accepted under, and a new configuration changes the attempts of open jobs. Log: job_failed names the bound in force and the runs that were counted. Records of earlier builds are read as before (bytes tested).

--- a/src/cell/job_handler.cc
+++ b/src/cell/job_handler.cc
@@ -93,6 +93,8 @@
   submission.team = from.team;
   submission.accepted_ms = this->time.wall_ms();
   submission.spec = std::move(spec);
+  submission.max_attempts = from.queue->max_attempts;
+  submission.accepted_under = this->current.version;
   const instant since = this->time.now();
   this->writer.write(
       {{key_of(record_kind::submission, job), encode(submission)}, deadline, from.credentials},
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "async/event_log.h"
@@ -178,7 +179,13 @@
   // Encodes the current progress of a job, or the run-time estimates for run_times_id.
   keyed_record newest_record(const job_id& job) const;
   void save_run_times();
-  std::int32_t attempts_of(const job_submission& submission) const;
+  // The number of attempts in force for the job: of the newest configuration of its queue that is
+  // known, be it the leader's or the one that the job was accepted under. Empty if none is.
+  std::optional<std::int32_t> attempts_of(const job_submission& submission) const;
+  // Applies changed numbers of attempts to the jobs that are open.
+  void update_attempts();
+  // Logs why a job is failed: the bound in force, and the runs that failed.
+  void report_failed(live_job& job, const task_ref& task) const;
 
   leader_services services;
   const daemon_id self;
--- a/src/cell/leader_takeover.cc
+++ b/src/cell/leader_takeover.cc
@@ -35,7 +35,10 @@
     return;
   }
   const job_id id = record.submission->job;
-  live_job job(*record.submission, record.progress, this->attempts_of(*record.submission),
+  // Only for a job that a build without recorded attempts has accepted, and whose queue is gone.
+  constexpr std::int32_t attempts_if_unknown = 1;
+  live_job job(*record.submission, record.progress,
+               this->attempts_of(*record.submission).value_or(attempts_if_unknown),
                this->services.time.now(), accepted);
   live_job& adopted = this->state.jobs.emplace(id, std::move(job)).first->second;
   for (auto& [number, occurrence] : adopted.occurrences()) {
--- a/src/cell/testing/fake_cell.h
+++ b/src/cell/testing/fake_cell.h
@@ -27,7 +27,9 @@
   std::string config_topic() const override { return "op"; }
   std::string config_key() const override { return "config"; }
   std::string runner_topic() const override { return "runners"; }
-  result<cell_config> read_config(const std::string&) const override { return this->config; }
+  result<cell_config> read_config(const std::string&) const override {
+    return this->pinned ? *this->pinned : this->config;
+  }
   result<runner_entry> read_runner(const std::string& id, const std::string& value) const override {
     if (value == unreadable) {
       return not_run(error_code::bad_request, value);
@@ -42,6 +44,9 @@
     return not_run(error_code::not_found, id);
   }
 
+  // The configuration that the daemon reads in place of newer ones, which are late for it.
+  std::optional<cell_config> pinned;
+
  private:
   const cell_config& config;
   std::vector<std::unique_ptr<fake_runner>>& runners;
--- a/src/decide/live_job.cc
+++ b/src/decide/live_job.cc
@@ -198,6 +198,27 @@
   return !shape.long_running && task.failures >= this->max_attempts;
 }
 
+bool live_job::set_attempts(std::int32_t attempts) {
+  this->max_attempts = attempts;
+  if (is_final(this->state)) {
+    return false;
+  }
+  for (const auto& [number, occurrence] : this->open_occurrences) {
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      const auto& tasks = occurrence.steps[s].tasks;
+      const bool exhausted = std::any_of(tasks.begin(), tasks.end(), [&](const live_task& task) {
+        return task.phase == task_phase::waiting &&
+               this->out_of_attempts(this->spec().steps[s], task);
+      });
+      if (exhausted) {
+        this->state = job_phase::failed;
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 void live_job::mark_done(live_step& step, live_task& task) {
   if (task.phase != task_phase::done) {
     task.phase = task_phase::done;
--- a/src/decide/live_job.h
+++ b/src/decide/live_job.h
@@ -86,6 +86,11 @@
 
   const job_submission& submission() const { return this->accepted; }
   const job_spec& spec() const { return this->accepted.spec; }
+  // Failed runs of a task after which the job is failed.
+  std::int32_t attempts() const { return this->max_attempts; }
+  // Sets their number, by a newer configuration. Returns true if a task has had as many already, so
+  // that the job is failed now.
+  bool set_attempts(std::int32_t attempts);
   // On the monotonic clock, so a jump of the wall clock does not change the job's age.
   instant accepted_at() const { return this->accepted_time; }
   job_phase phase() const { return this->state; }
--- a/src/decide/testing/live_job_test.cc
+++ b/src/decide/testing/live_job_test.cc
@@ -182,6 +182,17 @@
   }
 }
 
+TEST_CASE("Changed attempts hold for a job that is open") {
+  live_job job = make_job(tasks(1), 1);
+  CHECK_FALSE(job.set_attempts(3));
+  job.place(task(0), 1, "r", 0, now);
+  CHECK_FALSE(job.finish(task(0), 1, run_outcome::failed, {}).job_final);
+  job.place(task(0), 2, "r", 0, now);
+  CHECK_FALSE(job.finish(task(0), 2, run_outcome::failed, {}).job_final);
+  CHECK(job.set_attempts(2));  // A further start would be one too many.
+  CHECK(job.phase() == job_phase::failed);
+}
+
 TEST_CASE("A gang starts again under the next run number when the runs of all members have ended") {
   live_job job = make_job(tasks(3, true), 2);
   for (int i = 0; i < 3; ++i) {
--- a/src/model/cell_record.cc
+++ b/src/model/cell_record.cc
@@ -23,8 +23,9 @@
   return out.str();
 }
 
-template <class Record>
-std::optional<Record> decode_record(const std::string& bytes) {
+// `read_rest` reads what follows the record's usual fields, if anything does.
+template <class Record, class ReadRest>
+std::optional<Record> decode_record(const std::string& bytes, ReadRest read_rest) {
   if (bytes.empty() || bytes.front() != format_version) {
     return std::nullopt;
   }
@@ -33,6 +34,9 @@
     cereal::BinaryInputArchive archive(in);
     Record value;
     archive(value);
+    if (in.peek() != std::istringstream::traits_type::eof()) {
+      read_rest(archive, value);
+    }
     return value;
   } catch (const std::exception&) {
     // The caller logs the record's key; cereal's message about bytes that are not a record
@@ -41,6 +45,11 @@
   }
 }
 
+template <class Record>
+std::optional<Record> decode_record(const std::string& bytes) {
+  return decode_record<Record>(bytes, [](auto&, Record&) {});
+}
+
 }  // namespace
 
 std::string occurrence_progress::packed_tasks() const {
@@ -84,7 +93,14 @@
 }
 
 std::string encode(const job_submission& value) {
-  return encode_record(value);
+  std::string bytes = encode_record(value);
+  if (value.max_attempts == 0) {
+    return bytes;
+  }
+  std::ostringstream out;
+  cereal::BinaryOutputArchive archive(out);
+  archive(value.max_attempts, value.accepted_under);
+  return bytes + out.str();
 }
 std::string encode(const job_progress& value) {
   return encode_record(value);
@@ -100,7 +116,9 @@
 }
 
 std::optional<job_submission> decode_submission(const std::string& bytes) {
-  return decode_record<job_submission>(bytes);
+  return decode_record<job_submission>(bytes, [](auto& archive, job_submission& value) {
+    archive(value.max_attempts, value.accepted_under);
+  });
 }
 std::optional<job_progress> decode_progress(const std::string& bytes) {
   return decode_record<job_progress>(bytes);
--- a/src/model/cell_record.h
+++ b/src/model/cell_record.h
@@ -26,7 +26,12 @@
   team_id team;                  // Empty for open queues.
   std::int64_t accepted_ms = 0;  // Unix time in ms.
   job_spec spec;
+  // Of the queue, and of the configuration that it was accepted under; 0: not recorded. A leader
+  // may not have that configuration yet, or not any more.
+  std::int32_t max_attempts = 0;
+  config_version accepted_under;
 
+  // Without the last two, which are encoded behind the others only if they are set.
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->job, this->queue, this->pool, this->team, this->accepted_ms, this->spec);
--- a/src/model/testing/record_bytes_test.cc
+++ b/src/model/testing/record_bytes_test.cc
@@ -125,6 +125,20 @@
   CHECK(to_hex(encode(*read)) == submission_bytes);
 }
 
+TEST_CASE("A submission's attempts are written behind the bytes of the first format") {
+  job_submission with_bound = full_submission();
+  with_bound.max_attempts = 4;
+  with_bound.accepted_under = config_version{17};
+  const std::string bytes = encode(with_bound);
+  CHECK(to_hex(bytes).substr(0, submission_bytes.size()) == submission_bytes);
+  const auto read = decode_submission(bytes);
+  REQUIRE(read.has_value());
+  CHECK(read->max_attempts == 4);
+  CHECK(read->accepted_under == config_version{17});
+  CHECK(decode_submission(from_hex(submission_bytes))->max_attempts == 0);
+  CHECK_FALSE(decode_submission(bytes.substr(0, bytes.size() - 1)).has_value());
+}
+
 TEST_CASE("Progress has the bytes that the first format wrote") {
   CHECK(to_hex(encode(full_progress())) == progress_bytes);
   const auto read = decode_progress(from_hex(progress_bytes));
