A repeated start is checked against its runner's capacity again

Cause: only the first command was checked. Now each is, and a start that may have been executed is closed by a stop.

--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -220,6 +220,11 @@
   this->state.advice.drop_ticket(run.task.in, runner);
 }
 
+bool leader::has_room(const std::string& id) {
+  const runner_state* const runner = this->state.runners.find(id);
+  return runner == nullptr || runner->used.fits(runner->entry.capacity);
+}
+
 void leader::token_refused(const std::string& runner) {
   this->on.on_epoch_over("runner " + runner + " has seen a higher fencing token");
 }
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -128,6 +128,7 @@
   void ticket_refused(const std::string& runner, const run_key& run) override;
   void token_refused(const std::string& runner) override;
   instant leases_until(const std::string& runner) override;
+  bool has_room(const std::string& runner) override;
 
   void tick();
   void forget_inherited_bounds(instant now);
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -48,6 +48,9 @@
   virtual void ticket_refused(const std::string& runner, const run_key& run) = 0;
   // No lease on the runner may be granted now that lasts longer; in the past: none at all.
   virtual instant leases_until(const std::string& runner) = 0;
+  // False if all that may be on the runner, with what is about to start, is more than its capacity,
+  // which may shrink at any time.
+  virtual bool has_room(const std::string&) { return true; }
   // The runner has seen a higher fencing token than ours.
   virtual void token_refused(const std::string& runner) = 0;
 };
--- a/src/cell/runner_session_commands.cc
+++ b/src/cell/runner_session_commands.cc
@@ -25,6 +25,11 @@
     this->start_refused(run, tracked, "runner_restarted");
     return;
   }
+  // The leader has checked that when it sent the start. A repeat may come much later.
+  if (!this->leader.has_room(this->id)) {
+    this->start_refused(run, tracked, "runner_shrank");
+    return;
+  }
   tracked.next_try = never;
   const instant now = this->time.now();
   const std::optional<millis> lease = this->next_lease(now);
--- a/src/cell/testing/runner_session_test.cc
+++ b/src/cell/testing/runner_session_test.cc
@@ -59,6 +59,8 @@
   void token_refused(const std::string&) override {}
   instant leases_until(const std::string&) override { return this->lease_limit; }
   instant lease_limit = never;
+  bool has_room(const std::string&) override { return this->room; }
+  bool room = true;
   std::vector<std::string> lost;
 };
 
@@ -374,6 +376,28 @@
   CHECK(f.commands.starts.size() == 3);
 }
 
+// Guards against LIMIT: a start was repeated on a runner whose capacity had shrunk meanwhile.
+TEST_CASE("A start without an answer is not repeated once the runner has no room for it") {
+  session_fixture f;
+  f.end_all_runs();
+  f.loop.run_for(millis{30'000});
+  f.start("job.0.0.5");
+  f.loop.run_for(millis{2});
+  f.commands.report(f.idle_state());
+  REQUIRE(f.commands.starts.size() == 1);
+  f.leader.room = false;
+  f.commands.start_answers.back()({command_status::unknown, std::nullopt});
+  f.loop.run_for(f.options.retry);
+  f.session.tick();
+  if (!f.commands.answers.empty()) {
+    f.commands.report(f.idle_state());  // The answer that a repeat may wait for.
+  }
+  CHECK(f.commands.starts.size() == 1);
+  // It may have been executed, so it has to be closed.
+  REQUIRE(f.commands.stops.size() == 1);
+  CHECK(f.commands.stops.back().task == "job.0.0.5");
+}
+
 TEST_CASE("A start is not sent to a runner that has restarted while it was idle") {
   session_fixture f;
   f.end_all_runs();
