--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -88,16 +88,6 @@
   this->writer.fence(on_fenced);
 }
 
-std::optional<std::int32_t> leader::attempts_of(const job_submission& submission) const {
-  const queue_config* const queue = this->state.config.find_queue(submission.queue);
-  const bool recorded = submission.max_attempts > 0;
-  const bool accepted_later = this->state.config.version < submission.accepted_under;
-  if (recorded && (queue == nullptr || accepted_later)) {
-    return submission.max_attempts;
-  }
-  return queue != nullptr ? std::optional(queue->max_attempts) : std::nullopt;
-}
-
 runner_session& leader::session_of(const std::string& runner) {
   auto& session = this->sessions[runner];
   if (!session) {
@@ -118,21 +108,6 @@
   this->request_plan();
 }
 
-void leader::update_attempts() {
-  std::vector<job_id> exhausted;
-  for (auto& [id, job] : this->state.jobs) {
-    const std::optional<std::int32_t> attempts = this->attempts_of(job.submission());
-    if (attempts && *attempts != job.attempts() && job.set_attempts(*attempts)) {
-      exhausted.push_back(id);
-    }
-  }
-  for (const job_id& id : exhausted) {
-    this->services.events.write("attempts_lowered", {{"job", id.text}});
-    this->writer.write(id);
-    this->finish_job(this->state.jobs.at(id));
-  }
-}
-
 void leader::submitted(const job_record& record) {
   if (!this->is_active || this->state.jobs.contains(record.submission->job)) {
     return;
--- a/src/cell/leader_run_ends.cc
+++ b/src/cell/leader_run_ends.cc
@@ -105,24 +105,6 @@
   this->after_end(job, run, how, effect);
 }
 
-void leader::report_failed(live_job& job, const task_ref& task) const {
-  nlohmann::ordered_json counted = nlohmann::ordered_json::array();
-  const live_step& step =
-      job.occurrences().at(task.in.occurrence).steps[static_cast<std::size_t>(task.in.step)];
-  for (const live_task& member : step.tasks) {
-    for (const live_task::failed_run& each : member.failed_runs) {
-      counted.push_back({{"run", each.run}, {"runner", each.runner}});
-    }
-  }
-  this->services.events.write("job_failed",
-                              {{"task", task.text()},
-                               {"failures", job.find(task)->failures},
-                               {"attempts", job.attempts()},
-                               {"config", this->state.config.version.value},
-                               {"accepted_under", job.submission().accepted_under.value},
-                               {"counted_here", counted}});
-}
-
 void leader::after_end(live_job& job, const run_key& run, run_outcome how,
                        const end_effect& effect) {
   const step_spec& shape = job.spec().steps[static_cast<std::size_t>(run.task.in.step)];
--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -76,32 +76,6 @@
   return out;
 }
 
-void placer::place_skipped_steps(instant now, plan& out) {
-  for (auto& [pool, round] : this->pools) {
-    std::vector<waiting_step*> skipped = std::move(round.skipped);
-    round.skipped.clear();
-    if (skipped.empty()) {
-      continue;
-    }
-    const auto by_step = [](const waiting_step* a, const waiting_step* b) {
-      return std::tie(a->ref, a->kept) < std::tie(b->ref, b->kept);
-    };
-    std::sort(skipped.begin(), skipped.end(), by_step);
-    const step_ref last = this->last_tried[pool];
-    const auto next = std::find_if(skipped.begin(), skipped.end(),
-                                   [&last](const waiting_step* step) { return last < step->ref; });
-    std::rotate(skipped.begin(), next, skipped.end());
-    round.max_blocked += this->options.blocked_steps_in_turn;
-    for (waiting_step* step : skipped) {
-      if (round.blocked >= round.max_blocked) {
-        break;
-      }
-      this->place_step(*step, now, out);
-      this->last_tried[pool] = step->ref;
-    }
-  }
-}
-
 std::vector<placer::waiting_step> placer::collect(instant now, std::int64_t wall_ms) {
   std::vector<waiting_step> out;
   const urgency_evaluator evaluator(this->state, now, wall_ms);
