System test: wait until daemons know the keys, not until they answer

Cause: the wait for the teams' keys handed in a job for a queue that does not exist and took "no such thing" for a sign that the key is known. A daemon looks for the queue before the key, so it answers so whatever the key is.

Now the wait asks for a job that does not exist, which tells only a known key that there is none.

--- a/tools/cell.sh
+++ b/tools/cell.sh
@@ -95,14 +95,21 @@
   cell_await_keys
 }
 
+# Asks for a job that does not exist: only a daemon that knows the key says so, any other asks for
+# a key. The answer is read before it is searched: under pipefail, a pipeline would have the
+# client's exit code.
+cell_knows_key() { # NAME KEY
+  local answer
+  answer=$(MONSOONMUX_KEY=$2 mux job show none --server "${cell_http[$1]}" 2>&1)
+  grep -q 'no such thing' <<< "$answer"
+}
+
 # Waits until every daemon knows the teams' keys, which it has to within 3 s.
 cell_await_keys() {
   local name key start=$SECONDS
   for name in "${!cell_http[@]}"; do
     for key in "$growers_key" "$graders_key"; do
-      # The queue does not exist: a key that is known is refused for that reason.
-      while MONSOONMUX_KEY=$key mux job submit --queue none --server "${cell_http[$name]}" 2>&1 |
-        grep -qE 'unauthorized|no valid key'; do
+      until cell_knows_key "$name" "$key"; do
         [ $((SECONDS - start)) -le 3 ] || { echo "$name does not know a key after 3 s" >&2; return 1; }
         sleep 0.05
       done
