--- a/src/cell/testing/fake_cell.h
+++ b/src/cell/testing/fake_cell.h
@@ -11,47 +11,13 @@
 #include "cell/cell_daemon.h"
 #include "cell/testing/fake_advice.h"
 #include "cell/testing/fake_frames.h"
+#include "cell/testing/fake_runner_port.h"
 #include "cell/testing/fake_runners.h"
+#include "cell/testing/fake_sources.h"
 #include "cell/testing/fake_store.h"
 
 namespace monsoonmux::cell {
 
-// Decodes the test's configuration and runner entries. The records in the log are only
-// placeholders; the values come from the fake cell itself.
-class fake_sources final : public cell_sources {
- public:
-  fake_sources(const cell_config& config, std::vector<std::unique_ptr<fake_runner>>& runners)
-      : config(config), runners(runners) {}
-  static constexpr const char* unreadable = "unreadable";  // The value of such an entry.
-
-  std::string config_topic() const override { return "op"; }
-  std::string config_key() const override { return "config"; }
-  std::string runner_topic() const override { return "runners"; }
-  result<cell_config> read_config(const std::string&) const override {
-    return this->pinned ? *this->pinned : this->config;
-  }
-  result<runner_entry> read_runner(const std::string& id, const std::string& value) const override {
-    if (value == unreadable) {
-      return not_run(error_code::bad_request, value);
-    }
-    for (const auto& runner : this->runners) {
-      if (runner->entry.id == id) {
-        runner_entry entry = runner->entry;
-        entry.clock_ms = runner->clock();
-        return entry;
-      }
-    }
-    return not_run(error_code::not_found, id);
-  }
-
-  // The configuration that the daemon reads in place of newer ones, which are late for it.
-  std::optional<cell_config> pinned;
-
- private:
-  const cell_config& config;
-  std::vector<std::unique_ptr<fake_runner>>& runners;
-};
-
 class fake_cell;
 
 // Delivers datagrams between the daemons of a fake cell.
--- /dev/null
+++ b/src/cell/testing/fake_runner_port.h
@@ -0,0 +1,154 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cell/runner_port.h"
+#include "cell/testing/fake_loop.h"
+#include "cell/testing/fake_runners.h"
+
+namespace monsoonmux::cell {
+
+// A daemon's connection to all runners.
+class fake_runner_port final : public runner_port {
+ public:
+  fake_runner_port(fake_loop& loop, fake_process& process, std::string daemon,
+                   std::vector<std::unique_ptr<fake_runner>>& runners, std::uint32_t seed)
+      : loop(loop), process(process), daemon(std::move(daemon)), runners(runners), random(seed) {}
+
+  void start(const start_command& command, std::function<void(command_answer)> on_answer) override {
+    this->command(command.target, std::move(on_answer),
+                  [command](fake_runner& r) { return r.start(command); });
+  }
+  void stop(const stop_command& command, std::function<void(command_answer)> on_answer) override {
+    this->command(command.target, std::move(on_answer),
+                  [command](fake_runner& r) { return r.stop(command); });
+  }
+  void poll(const poll_request& request, std::function<void(poll_answer)> on_answer) override {
+    const millis timeout = request.wait + command_timeout;
+    this->call<poll_answer>(request.target, timeout, std::move(on_answer), poll_answer{},
+                            poll_answer{command_status::not_sent, {}},
+                            [this, request](fake_runner& r, const auto& answer) {
+                              this->wait_for_end(r, request, this->loop.now() + request.wait,
+                                                 answer);
+                            });
+  }
+
+  std::int64_t sent = 0;  // Number of calls.
+
+ private:
+  static constexpr millis latency{1};
+  static constexpr millis command_timeout{300};
+
+  // The runner at the address: one that is up, if another one was there before it.
+  fake_runner* find(const std::string& address) {
+    fake_runner* out = nullptr;
+    for (auto& runner : this->runners) {
+      if (runner->entry.address == address && (out == nullptr || runner->up)) {
+        out = runner.get();
+      }
+    }
+    return out;
+  }
+
+  template <class Command>
+  void command(const command_target& target, std::function<void(command_answer)> on_answer,
+               Command execute) {
+    this->call<command_answer>(
+        target, command_timeout, std::move(on_answer), command_answer{},
+        command_answer{command_status::not_sent, {}},
+        [this, execute](fake_runner& r, const auto& answer) {
+          if (std::uniform_real_distribution<double>(0, 1)(this->random) < r.late_commands) {
+            const millis delay{2'000 + static_cast<std::int64_t>(this->random() % 10'000)};
+            // The command waits in the runner's process and is lost if that ends.
+            this->loop.after(delay, [&r, execute, incarnation = r.entry.incarnation] {
+              if (r.up && r.entry.incarnation == incarnation) {
+                execute(r);
+              }
+            });
+            return;
+          }
+          answer(execute(r));
+        });
+  }
+
+  template <class Answer, class Serve>
+  void call(const command_target& target, millis timeout, std::function<void(Answer)> on_answer,
+            Answer no_answer, Answer refused, Serve serve) {
+    ++this->sent;
+    auto open = std::make_shared<bool>(true);
+    const std::uint64_t incarnation = this->process.current_incarnation();
+    const auto settle = [open, on_answer](const Answer& value) {
+      if (std::exchange(*open, false)) {
+        on_answer(value);
+      }
+    };
+    this->process.after(timeout, [settle, no_answer] { settle(no_answer); });
+    fake_runner* const runner = this->find(target.address);
+    if (runner == nullptr || (!runner->up && runner->reachable(this->daemon))) {
+      this->process.after(latency, [settle, refused] { settle(refused); });
+      return;
+    }
+    refused.status = command_status::other_instance;
+    this->loop.after(latency + this->delay(*runner), [this, runner, settle, serve, incarnation,
+                                                      refused, instance = target.instance] {
+      if (!runner->up || !runner->reachable(this->daemon)) {
+        return;
+      }
+      if (instance != runner->entry.id) {
+        this->process.after(latency, [settle, refused] { settle(refused); });
+        return;
+      }
+      const bool lost = this->loses_answer(*runner);
+      serve(*runner, [this, runner, settle, incarnation, lost](const Answer& value) {
+        if (!lost && runner->reachable(this->daemon) &&
+            this->process.current_incarnation() == incarnation) {
+          this->process.after(latency + this->delay(*runner), [settle, value] { settle(value); });
+        }
+      });
+    });
+  }
+
+  millis delay(const fake_runner& runner) {
+    if (runner.slow_link == millis{0}) {
+      return millis{0};
+    }
+    return millis{static_cast<std::int64_t>(this->random() % runner.slow_link.value)};
+  }
+  // True if the call that arrives now is executed, but its connection gives nothing further.
+  bool loses_answer(const fake_runner& runner) {
+    return runner.unanswered.contains(this->daemon) ||
+           (runner.lost_answers > 0 &&
+            std::uniform_real_distribution<double>(0, 1)(this->random) < runner.lost_answers);
+  }
+
+  template <class Answer>
+  void wait_for_end(fake_runner& r, const poll_request& request, instant until,
+                    const Answer& answer) {
+    const poll_answer now = r.poll(request);
+    if (!r.up) {
+      return;
+    }
+    if (now.status != command_status::done || r.has_ends() || this->loop.now() >= until) {
+      answer(now);
+      return;
+    }
+    poll_request rest = request;
+    rest.lease_until_ms.reset();
+    this->loop.after(millis{10}, [this, &r, rest, until, answer] {
+      this->wait_for_end(r, rest, until, answer);
+    });
+  }
+
+  fake_loop& loop;
+  fake_process& process;
+  const std::string daemon;
+  std::vector<std::unique_ptr<fake_runner>>& runners;
+  std::mt19937 random;
+};
+
+}  // namespace monsoonmux::cell
--- a/src/cell/testing/fake_runners.h
+++ b/src/cell/testing/fake_runners.h
@@ -54,9 +54,11 @@
   double failure_rate = 0;  // Fraction of runs that end as failed.
   double long_rate = 0;     // Fraction of runs that take `long_time`.
   millis long_time{60'000};
-  millis crash_delay{50};         // A deadly task crashes its runner so long after its start.
-  millis crash_time{3'000};       // A runner that crashes for a while is back after this.
-  std::function<void()> on_back;  // Called when it is back; publishes its entry.
+  millis crash_delay{50};            // A deadly task crashes its runner so long after its start.
+  millis crash_time{3'000};          // A runner that crashes for a while is back after this.
+  bool renamed_on_return = false;    // It comes back under another id at its address.
+  std::vector<runner_entry> former;  // Its entries under its former ids.
+  std::function<void()> on_back;     // Called when it is back; publishes its entry.
 
   bool reachable(const std::string& daemon) const {
     return !this->partitioned.contains(daemon) && !this->cut_off.contains(daemon);
@@ -148,13 +150,20 @@
 
   // Stops the runner and all its runs. restart() brings it back under the same id.
   void crash() {
-    this->up = false;
     this->log_event("runner_crashes", "", 0);
+    this->history.crashed_incarnations.insert({this->entry.id, this->entry.incarnation});
     for (const auto& [task, run] : this->runs) {
-      this->history.end(this->entry.id, task, run.run, false);
       this->history.crashed_under(task);
     }
-    this->runs.clear();
+    for (const finished_run& end : this->finished) {
+      ++this->history.crashes_with_end[end.task];
+    }
+    this->go_down();
+  }
+  // The same as planned, which is no crash.
+  void leave() {
+    this->log_event("runner_leaves", "", 0);
+    this->go_down();
   }
   // Crashes, and is back under its id after `crash_time`.
   void crash_for_a_while() {
@@ -171,6 +180,10 @@
   }
   void restart() {
     this->up = true;
+    if (this->renamed_on_return) {
+      this->former.push_back(this->entry);
+      this->entry.id += "n";
+    }
     this->log_event("runner_restarts", "", 0);
     this->finished.clear();
     this->closed.clear();
@@ -189,6 +202,14 @@
     millis waited{0};  // For the other members of its gang.
   };
 
+  void go_down() {
+    this->up = false;
+    for (const auto& [task, run] : this->runs) {
+      this->history.end(this->entry.id, task, run.run, false);
+    }
+    this->runs.clear();
+  }
+
   bool accept_token(epoch given) {
     if (given < this->token) {
       return false;
@@ -242,7 +263,13 @@
     this->finished.push_back({this->next_end++, task, run.run, how, {}});
     int& highest = this->closed[task];
     highest = std::max(highest, run.run);
+    if (how == run_outcome::failed) {
+      this->history.failed_runs[task].insert(run.run);
+    }
     this->history.end(this->entry.id, task, run.run, how == run_outcome::done);
+    if (how == run_outcome::failed) {
+      ++this->history.failures[task];
+    }
   }
 
   // A member of a gang makes no progress alone, and gives up after a while.
@@ -294,134 +321,4 @@
   std::int64_t lapsed_ends = 0;  // Ends up to this number were listed when the lease expired.
 };
 
-// A daemon's connection to all runners.
-class fake_runner_port final : public runner_port {
- public:
-  fake_runner_port(fake_loop& loop, fake_process& process, std::string daemon,
-                   std::vector<std::unique_ptr<fake_runner>>& runners, std::uint32_t seed)
-      : loop(loop), process(process), daemon(std::move(daemon)), runners(runners), random(seed) {}
-
-  void start(const start_command& command, std::function<void(command_answer)> on_answer) override {
-    this->command(command.target, std::move(on_answer),
-                  [command](fake_runner& r) { return r.start(command); });
-  }
-  void stop(const stop_command& command, std::function<void(command_answer)> on_answer) override {
-    this->command(command.target, std::move(on_answer),
-                  [command](fake_runner& r) { return r.stop(command); });
-  }
-  void poll(const poll_request& request, std::function<void(poll_answer)> on_answer) override {
-    const millis timeout = request.wait + command_timeout;
-    this->call<poll_answer>(request.target, timeout, std::move(on_answer), poll_answer{},
-                            poll_answer{command_status::not_sent, {}},
-                            [this, request](fake_runner& r, const auto& answer) {
-                              this->wait_for_end(r, request, this->loop.now() + request.wait,
-                                                 answer);
-                            });
-  }
-
-  std::int64_t sent = 0;  // Number of calls.
-
- private:
-  static constexpr millis latency{1};
-  static constexpr millis command_timeout{300};
-
-  fake_runner* find(const std::string& address) {
-    for (auto& runner : this->runners) {
-      if (runner->entry.address == address) {
-        return runner.get();
-      }
-    }
-    return nullptr;
-  }
-
-  template <class Command>
-  void command(const command_target& target, std::function<void(command_answer)> on_answer,
-               Command execute) {
-    this->call<command_answer>(
-        target, command_timeout, std::move(on_answer), command_answer{},
-        command_answer{command_status::not_sent, {}},
-        [this, execute](fake_runner& r, const auto& answer) {
-          if (std::uniform_real_distribution<double>(0, 1)(this->random) < r.late_commands) {
-            const millis delay{2'000 + static_cast<std::int64_t>(this->random() % 10'000)};
-            // The command waits in the runner's process and is lost if that ends.
-            this->loop.after(delay, [&r, execute, incarnation = r.entry.incarnation] {
-              if (r.up && r.entry.incarnation == incarnation) {
-                execute(r);
-              }
-            });
-            return;
-          }
-          answer(execute(r));
-        });
-  }
-
-  template <class Answer, class Serve>
-  void call(const command_target& target, millis timeout, std::function<void(Answer)> on_answer,
-            Answer no_answer, Answer refused, Serve serve) {
-    ++this->sent;
-    auto open = std::make_shared<bool>(true);
-    const std::uint64_t incarnation = this->process.current_incarnation();
-    const auto settle = [open, on_answer](const Answer& value) {
-      if (std::exchange(*open, false)) {
-        on_answer(value);
-      }
-    };
-    this->process.after(timeout, [settle, no_answer] { settle(no_answer); });
-    fake_runner* const runner = this->find(target.address);
-    if (runner == nullptr || (!runner->up && runner->reachable(this->daemon))) {
-      this->process.after(latency, [settle, refused] { settle(refused); });
-      return;
-    }
-    this->loop.after(latency + this->delay(*runner), [this, runner, settle, serve, incarnation] {
-      if (!runner->up || !runner->reachable(this->daemon)) {
-        return;
-      }
-      const bool lost = this->loses_answer(*runner);
-      serve(*runner, [this, runner, settle, incarnation, lost](const Answer& value) {
-        if (!lost && runner->reachable(this->daemon) &&
-            this->process.current_incarnation() == incarnation) {
-          this->process.after(latency + this->delay(*runner), [settle, value] { settle(value); });
-        }
-      });
-    });
-  }
-
-  millis delay(const fake_runner& runner) {
-    if (runner.slow_link == millis{0}) {
-      return millis{0};
-    }
-    return millis{static_cast<std::int64_t>(this->random() % runner.slow_link.value)};
-  }
-  // True if the call that arrives now is executed, but its connection gives nothing further.
-  bool loses_answer(const fake_runner& runner) {
-    return runner.unanswered.contains(this->daemon) ||
-           (runner.lost_answers > 0 &&
-            std::uniform_real_distribution<double>(0, 1)(this->random) < runner.lost_answers);
-  }
-
-  template <class Answer>
-  void wait_for_end(fake_runner& r, const poll_request& request, instant until,
-                    const Answer& answer) {
-    const poll_answer now = r.poll(request);
-    if (!r.up) {
-      return;
-    }
-    if (now.status != command_status::done || r.has_ends() || this->loop.now() >= until) {
-      answer(now);
-      return;
-    }
-    poll_request rest = request;
-    rest.lease_until_ms.reset();
-    this->loop.after(millis{10}, [this, &r, rest, until, answer] {
-      this->wait_for_end(r, rest, until, answer);
-    });
-  }
-
-  fake_loop& loop;
-  fake_process& process;
-  const std::string daemon;
-  std::vector<std::unique_ptr<fake_runner>>& runners;
-  std::mt19937 random;
-};
-
 }  // namespace monsoonmux::cell
--- a/src/cell/testing/fake_store.h
+++ b/src/cell/testing/fake_store.h
@@ -24,8 +24,10 @@
   bool down = false;        // No call is executed or answered.
   double lost_answers = 0;  // Fraction of appends that are executed but not answered.
   double late_appends = 0;  // Fraction of appends that are executed seconds later and not answered.
-  std::set<std::string> partitioned;   // Daemons whose calls and answers are lost.
-  std::set<std::string> cut_off;       // Daemons of a failure domain that is cut off.
+  std::set<std::string> partitioned;  // Daemons whose calls and answers are lost.
+  std::set<std::string> cut_off;      // Daemons of a failure domain that is cut off.
+  // Topics of which a daemon's reads get no answer, by daemon.
+  std::map<std::string, std::set<std::string>> withheld;
   std::map<std::string, int> appends;  // Number of append calls, by daemon.
 
   // Epoch of the newest leader claim; each takeover increments it.
@@ -55,12 +57,17 @@
 
   void read(const std::string& from, fake_process& process, const std::string& topic,
             std::int64_t offset, millis wait, reply<read_answer> on_answer) {
-    this->call<result<read_answer>>(from, process, wait + append_timeout, on_answer,
-                                    may_have_run(error_code::deadline_exceeded, "no answer"),
-                                    [this, topic, offset, wait](const auto& answer) {
-                                      this->wait_for(topic, offset, this->loop.now() + wait,
-                                                     answer);
-                                    });
+    this->call<result<read_answer>>(
+        from, process, wait + append_timeout, on_answer,
+        may_have_run(error_code::deadline_exceeded, "no answer"),
+        [this, from, topic, offset, wait](const auto& answer) {
+          const auto unless_withheld = [this, from, topic, answer](const auto& value) {
+            if (!this->withheld[from].contains(topic)) {
+              answer(value);
+            }
+          };
+          this->wait_for(topic, offset, this->loop.now() + wait, unless_withheld);
+        });
   }
 
   void newest(const std::string& from, fake_process& process, const std::string& topic,
@@ -69,11 +76,7 @@
                                       may_have_run(error_code::deadline_exceeded, "no answer"),
                                       [this, topic](const auto& answer) {
                                         newest_answer out;
-                                        std::map<std::string, logged_record> latest;
-                                        for (const logged_record& r : this->topics[topic].records) {
-                                          latest[r.record.key] = r;
-                                        }
-                                        for (const auto& [key, r] : latest) {
+                                        for (const auto& [key, r] : this->latest(topic)) {
                                           if (!r.record.value.empty()) {
                                             out.records.push_back(r);
                                           }
@@ -83,6 +86,17 @@
                                       });
   }
 
+  const std::vector<logged_record>& records(const std::string& topic) {
+    return this->topics[topic].records;
+  }
+  // The newest record of each key.
+  std::map<std::string, logged_record> latest(const std::string& topic) {
+    std::map<std::string, logged_record> out;
+    for (const logged_record& r : this->topics[topic].records) {
+      out[r.record.key] = r;
+    }
+    return out;
+  }
   // Writes of the platform itself.
   void put(const std::string& topic, const std::string& key, const std::string& value) {
     this->add(topic, {key, value});
--- a/src/cell/testing/lasting_faults.h
+++ b/src/cell/testing/lasting_faults.h
@@ -172,7 +172,7 @@
     const millis leaves = this->between(2'000, 6'500);
     this->after(leaves, [this, runner] {
       this->log("leaves", runner->entry.id);
-      runner->crash();
+      runner->leave();
       this->after(this->between(1, 400), [this, runner] { this->unlist(*runner); });
     });
     if (this->chance(0.7)) {
--- a/src/cell/testing/long_faults.h
+++ b/src/cell/testing/long_faults.h
@@ -218,10 +218,16 @@
   void unlist_if_out(fake_runner& runner) {
     this->later(unlisted_after, [this, &runner] {
       if (!this->heard_of(runner)) {
-        this->cell.store.put("runners", runner.entry.id, "");
+        this->unlist(runner);
       }
     });
   }
+  void unlist(const fake_runner& runner) {
+    if (runner.up) {
+      this->cell.history.hidden_incarnations.insert({runner.entry.id, runner.entry.incarnation});
+    }
+    this->cell.store.put("runners", runner.entry.id, "");
+  }
   void list(fake_runner& runner, millis delay) {
     this->later(delay, [this, &runner] {
       if (this->heard_of(runner)) {
--- a/src/cell/testing/run_history.h
+++ b/src/cell/testing/run_history.h
@@ -28,6 +28,7 @@
   std::map<std::string, int> running;  // Number of runs by task, on runners that are up.
   std::set<std::string> done;          // Tasks that ended done.
   std::set<std::string> done_acked;    // Tasks of which such an end was acknowledged.
+  std::map<std::string, std::set<int>> failed_runs;  // By task; as their runners listed them.
   std::int64_t starts = 0;
   // The most runs that may be on runners at once, by the first characters of their job's id:
   // the limit of a team whose jobs are named so.
@@ -45,7 +46,15 @@
 
   // Tasks that crash the runners that start them: the first characters of their names.
   std::set<std::string> deadly;
-  std::map<std::string, int> crashes;            // Runners that crashed under a task, by task.
+  std::map<std::string, int> crashes;  // Runners that crashed under a task, by task.
+  // Runners that crashed with an end of the task that no daemon had acknowledged, so that nobody
+  // may know of that end; by task.
+  std::map<std::string, int> crashes_with_end;
+  std::map<std::string, int> failures;  // Runs that ended as failed, by task.
+  // The incarnations of runners that crashed, by the runner's id.
+  std::set<std::pair<std::string, std::int64_t>> crashed_incarnations;
+  // Those of runners whose entries were removed although they were up.
+  std::set<std::pair<std::string, std::int64_t>> hidden_incarnations;
   std::map<std::string, int> starts_of;          // By task.
   std::map<std::string, int> starts_beyond;      // Starts after too many crashes, by task.
   static constexpr int crashes_until_bound = 3;  // Runners that crash under a task ...
