The log of a counted crash says what is known of the runner

It now has whether the runner is listed, in which incarnation, and for how long the discovery list has been followed without a gap (followed_time of the log follower). No decision changes.

--- a/src/cell/cell_daemon.cc
+++ b/src/cell/cell_daemon.cc
@@ -190,6 +190,10 @@
                           }
                         });
                       },
+                      [this] {
+                        return this->runner_follower ? this->runner_follower->followed()
+                                                     : followed_time{};
+                      },
                       [this](const logged_record& record) { this->work_record(record); }});
   // Peers that the previous leader knew can be used for advice queries and as agents at
   // once.
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -13,6 +13,7 @@
 #include "cell/agent_pool.h"
 #include "cell/closed_runs.h"
 #include "cell/command_gate.h"
+#include "cell/followed_time.h"
 #include "cell/inherited_leases.h"
 #include "cell/lease_ledger.h"
 #include "cell/progress_writer.h"
@@ -68,6 +69,8 @@
   std::function<instant()> leases_until;
   // Called when a later epoch has begun, so that this leader must stop.
   std::function<void(const std::string& why)> on_epoch_over;
+  // The latest time in which the discovery list was followed without a gap.
+  std::function<followed_time()> runners_followed;
   // Called for each record of the leader as soon as it is in the log.
   std::function<void(const logged_record&)> on_record;
 };
@@ -160,6 +163,8 @@
   // What the loss of a run means for its task. Remembers a run whose lease has lapsed, until it
   // is known whether its runner crashed.
   run_outcome outcome_of_loss(const std::string& runner, const run_key& run, std::string_view why);
+  // For how long the discovery list has been followed without a gap.
+  millis list_followed_for() const;
   // Logs that a runner crashed under the run, and whether the task is given up for it.
   void report_crash(const std::string& runner, const run_key& run, const live_task& task,
                     const end_effect& effect);
--- a/src/cell/leader_crashes.cc
+++ b/src/cell/leader_crashes.cc
@@ -93,13 +93,22 @@
   }
 }
 
+millis leader::list_followed_for() const {
+  return this->on.runners_followed().length();
+}
+
 void leader::report_crash(const std::string& runner, const run_key& run, const live_task& task,
                           const end_effect& effect) {
-  const nlohmann::ordered_json fields{{"task", run.task.text()},
-                                      {"run", run.run},
-                                      {"runner", runner},
-                                      {"crashes", task.crashes},
-                                      {"alone", task.alone}};
+  const runner_state* const known = this->state.runners.find(runner);
+  const nlohmann::ordered_json fields{
+      {"task", run.task.text()},
+      {"run", run.run},
+      {"runner", runner},
+      {"crashes", task.crashes},
+      {"alone", task.alone},
+      {"listed", known != nullptr && known->listed},
+      {"listed_incarnation", known != nullptr ? known->entry.incarnation : 0},
+      {"list_followed_ms", this->list_followed_for().value}};
   this->services.events.write("crash_under_task", fields);
   this->services.metrics.count("crashes_under_tasks");
   if (effect.given_up) {
--- a/src/cell/log_follower.cc
+++ b/src/cell/log_follower.cc
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace monsoonmux::cell {
+namespace {
+
+// Until a read that gets no answer is given up and another one is answered.
+constexpr millis longest_failure{1'000};
+
+}  // namespace
 
 log_follower::log_follower(event_loop& io, shared_log& source, const clock& now, event_log& out,
                            std::string name, const follower_options& given, handlers callbacks)
@@ -22,6 +28,7 @@
 void log_follower::start() {
   this->first_page = true;
   this->catching_up = false;
+  this->unbroken_since = never;
   if (this->on.on_loading) {
     this->on.on_loading();
   }
@@ -96,6 +103,7 @@
   const bool all_read = this->next >= answer.end;
   if (all_read) {
     this->caught_up_at = this->time.now();
+    this->unbroken_since = std::min(this->unbroken_since, this->caught_up_at);
   }
   if (this->catching_up && all_read) {
     this->catching_up = false;
@@ -135,11 +143,25 @@
   }
 }
 
+bool log_follower::has_gap() const {
+  return this->time.now() - this->contact > this->options.wait + longest_failure;
+}
+
+followed_time log_follower::followed() const {
+  if (this->has_gap() || this->unbroken_since == never) {
+    return {};
+  }
+  return {this->unbroken_since, this->caught_up_at};
+}
+
 void log_follower::record_contact() {
   if (this->failures > 0) {
     this->events.write("log_regained", {{"topic", this->topic}, {"failed", this->failures}});
   }
   this->failures = 0;
+  if (this->has_gap()) {
+    this->unbroken_since = never;
+  }
   this->contact = this->time.now();
 }
 
--- a/src/cell/log_follower.h
+++ b/src/cell/log_follower.h
@@ -6,6 +6,7 @@
 
 #include "async/event_log.h"
 #include "base/clock.h"
+#include "cell/followed_time.h"
 #include "cell/shared_log.h"
 #include "cell/timer.h"
 
@@ -46,6 +47,10 @@
   bool loaded() const { return this->is_loaded; }
   // When the end of the topic was last reached.
   instant caught_up() const { return this->caught_up_at; }
+  // The latest time in which the topic was followed without a gap, that is with no longer time
+  // between two answers than a read that waits and one that fails take. Empty if there is a gap
+  // now.
+  followed_time followed() const;
   // All records below this offset have been delivered.
   std::int64_t position() const { return this->next; }
   // When the log last answered. The delivered records lag behind the log by at most the time
@@ -61,6 +66,8 @@
   void read_answered(const read_answer& answer);
   void record_failure(const failure& why);
   void record_contact();
+  // True if the last answer is older than usual reads allow.
+  bool has_gap() const;
   void schedule_read();
 
   shared_log& log;
@@ -75,6 +82,7 @@
   // The newest records were read, but not yet all records appended during the load.
   bool catching_up = false;
   instant caught_up_at{0};
+  instant unbroken_since = never;
   bool first_page = true;
   std::int64_t next = 0;
   std::int64_t load_end = 0;
