A job keeps the attempts that its queue had last when the queue is removed

Callers saw a job shown as failed with fewer failed runs than its queue allowed last (LOST). Cause: the number in force was known only to the leader that had read it; if the queue was removed, in the same read even, or the leader lost, the job fell back to the number under which it was accepted. Class: a verdict for good from knowledge that the log does not hold. Now the number is part of the job's progress, behind the bytes of the first format, and a removed queue leaves it as it was.

--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -103,6 +103,7 @@
 }
 
 void leader::configure(const cell_config& config) {
+  this->keep_attempts_of_removed_queues(config);
   this->state.config = config;
   this->update_attempts();
   this->request_plan();
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -188,6 +188,10 @@
   // The number of attempts in force for the job: of the newest configuration of its queue that is
   // known, be it the leader's or the one that the job was accepted under. Empty if none is.
   std::optional<std::int32_t> attempts_of(const job_submission& submission) const;
+  // The same for a job from the log, whose progress may have them from a newer configuration.
+  std::int32_t attempts_when_adopted(const job_record& record) const;
+  // The jobs of queues that `next` has no more keep the attempts that are in force now.
+  void keep_attempts_of_removed_queues(const cell_config& next);
   // Applies changed numbers of attempts to the jobs that are open.
   void update_attempts();
   // Logs why a job is failed: the bound in force, and the runs that failed.
--- a/src/cell/leader_attempts.cc
+++ b/src/cell/leader_attempts.cc
@@ -15,17 +15,47 @@
   return queue != nullptr ? std::optional(queue->max_attempts) : std::nullopt;
 }
 
+std::int32_t leader::attempts_when_adopted(const job_record& record) const {
+  if (record.progress && record.progress->max_attempts > 0) {
+    return record.progress->max_attempts;
+  }
+  // Only for a job that a build without recorded attempts has accepted, and whose queue is gone.
+  constexpr std::int32_t attempts_if_unknown = 1;
+  return this->attempts_of(*record.submission).value_or(attempts_if_unknown);
+}
+
+// One read may deliver a configuration that changes the attempts and one that removes the queue.
+void leader::keep_attempts_of_removed_queues(const cell_config& next) {
+  for (auto& [id, job] : this->state.jobs) {
+    const queue_id& queue = job.submission().queue;
+    if (this->state.config.find_queue(queue) == nullptr || next.find_queue(queue) != nullptr) {
+      continue;
+    }
+    const std::int32_t attempts = this->attempts_of(job.submission()).value_or(job.attempts());
+    if (attempts != job.attempts()) {
+      job.keep_attempts(attempts);
+      this->writer.write(id);
+    }
+  }
+}
+
 void leader::update_attempts() {
   std::vector<job_id> exhausted;
   for (auto& [id, job] : this->state.jobs) {
+    if (this->state.config.find_queue(job.submission().queue) == nullptr) {
+      continue;  // Its queue was removed, or is not known yet: the last known number remains.
+    }
     const std::optional<std::int32_t> attempts = this->attempts_of(job.submission());
-    if (attempts && *attempts != job.attempts() && job.set_attempts(*attempts)) {
+    if (!attempts || *attempts == job.attempts()) {
+      continue;
+    }
+    if (job.set_attempts(*attempts)) {
       exhausted.push_back(id);
     }
+    this->writer.write(id);  // A successor may find the queue removed.
   }
   for (const job_id& id : exhausted) {
     this->services.events.write("attempts_lowered", {{"job", id.text}});
-    this->writer.write(id);
     this->finish_job(this->state.jobs.at(id));
   }
 }
--- a/src/cell/leader_takeover.cc
+++ b/src/cell/leader_takeover.cc
@@ -35,12 +35,12 @@
     return;
   }
   const job_id id = record.submission->job;
-  // Only for a job that a build without recorded attempts has accepted, and whose queue is gone.
-  constexpr std::int32_t attempts_if_unknown = 1;
-  live_job job(*record.submission, record.progress,
-               this->attempts_of(*record.submission).value_or(attempts_if_unknown),
+  live_job job(*record.submission, record.progress, this->attempts_when_adopted(record),
                this->services.time.now(), accepted);
   live_job& adopted = this->state.jobs.emplace(id, std::move(job)).first->second;
+  if (adopted.attempts() != record.recorded_attempts()) {
+    this->writer.write(id);  // A successor may find the queue removed.
+  }
   for (auto& [number, occurrence] : adopted.occurrences()) {
     for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
       for (std::size_t t = 0; t < occurrence.steps[s].tasks.size(); ++t) {
--- a/src/cell/testing/attempts_test.cc
+++ b/src/cell/testing/attempts_test.cc
@@ -104,5 +104,31 @@
   }
 }
 
+TEST_CASE("A job that waits keeps the attempts that its leader knew over a takeover") {
+  for (std::uint32_t seed = 1; seed <= 4; ++seed) {
+    INFO("seed " << seed);
+    attempts_fixture f(seed);
+    f.cell.config.queues.front().max_attempts = 1;
+    f.publish_config();
+    const int late = f.other_daemon();
+    fake_sources& sources = f.cell.nodes[static_cast<std::size_t>(late)]->sources;
+    sources.pinned = f.cell.config;
+    f.cell.config.queues.front().max_attempts = attempts;
+    f.publish_config();
+    job_spec waiting = fake_cell::simple_job(1);
+    constexpr std::int64_t delay_ms = 8'000;
+    waiting.repeat_count = 1;
+    waiting.first_run_ms = f.cell.loop.wall_ms() + delay_ms;
+    f.cell.submit(late, job, waiting);
+    f.cell.loop.run_for(millis{500});
+    sources.pinned.reset();
+    f.cell.config.queues.clear();
+    f.publish_config();
+    f.cell.nodes[static_cast<std::size_t>(f.cell.leader())]->kill();
+    f.fail_next_run();
+    f.check_completed();
+  }
+}
+
 }  // namespace
 }  // namespace monsoonmux::cell
--- a/src/decide/job_table.cc
+++ b/src/decide/job_table.cc
@@ -30,6 +30,13 @@
   }
 }
 
+std::int32_t job_record::recorded_attempts() const {
+  if (this->progress && this->progress->max_attempts > 0) {
+    return this->progress->max_attempts;
+  }
+  return this->submission ? this->submission->max_attempts : 0;
+}
+
 bool job_record::settled() const {
   if (!this->progress || !is_final(this->progress->phase)) {
     return false;
--- a/src/decide/job_table.h
+++ b/src/decide/job_table.h
@@ -19,6 +19,8 @@
 
   // The phase that callers are shown.
   job_phase phase() const;
+  // The attempts that the log has for the job; 0: none.
+  std::int32_t recorded_attempts() const;
   // True if the job is final and no run of it can still be on a runner.
   bool settled() const;
 };
--- a/src/decide/live_job.cc
+++ b/src/decide/live_job.cc
@@ -418,6 +418,7 @@
   out.phase = this->state;
   out.ever_started = this->ever_started || this->has_placed_tasks();
   out.first_unfinished = this->first_unfinished;
+  out.max_attempts = this->max_attempts;
   for (const auto& [number, occurrence] : this->open_occurrences) {
     occurrence_progress saved;
     saved.number = number;
--- a/src/decide/live_job.h
+++ b/src/decide/live_job.h
@@ -91,6 +91,8 @@
   // Sets their number, by a newer configuration. Returns true if a task has had as many already, so
   // that the job is failed now.
   bool set_attempts(std::int32_t attempts);
+  // The same for failures to come; those that the tasks have had do not fail the job.
+  void keep_attempts(std::int32_t attempts) { this->max_attempts = attempts; }
   // On the monotonic clock, so a jump of the wall clock does not change the job's age.
   instant accepted_at() const { return this->accepted_time; }
   job_phase phase() const { return this->state; }
--- a/src/model/cell_record.cc
+++ b/src/model/cell_record.cc
@@ -23,6 +23,15 @@
   return out.str();
 }
 
+// Fields that a record has behind its usual ones.
+template <class... Field>
+std::string archived(const Field&... fields) {
+  std::ostringstream out;
+  cereal::BinaryOutputArchive archive(out);
+  archive(fields...);
+  return out.str();
+}
+
 // `read_rest` reads what follows the record's usual fields, if anything does.
 template <class Record, class ReadRest>
 std::optional<Record> decode_record(const std::string& bytes, ReadRest read_rest) {
@@ -93,17 +102,13 @@
 }
 
 std::string encode(const job_submission& value) {
-  std::string bytes = encode_record(value);
-  if (value.max_attempts == 0) {
-    return bytes;
-  }
-  std::ostringstream out;
-  cereal::BinaryOutputArchive archive(out);
-  archive(value.max_attempts, value.accepted_under);
-  return bytes + out.str();
+  const std::string bytes = encode_record(value);
+  return value.max_attempts == 0 ? bytes
+                                 : bytes + archived(value.max_attempts, value.accepted_under);
 }
 std::string encode(const job_progress& value) {
-  return encode_record(value);
+  const std::string bytes = encode_record(value);
+  return value.max_attempts == 0 ? bytes : bytes + archived(value.max_attempts);
 }
 std::string encode(const run_time_stats& value) {
   return encode_record(value);
@@ -121,7 +126,8 @@
   });
 }
 std::optional<job_progress> decode_progress(const std::string& bytes) {
-  return decode_record<job_progress>(bytes);
+  return decode_record<job_progress>(
+      bytes, [](auto& archive, job_progress& value) { archive(value.max_attempts); });
 }
 std::optional<run_time_stats> decode_run_time_stats(const std::string& bytes) {
   return decode_record<run_time_stats>(bytes);
--- a/src/model/cell_record.h
+++ b/src/model/cell_record.h
@@ -95,7 +95,10 @@
   bool ever_started = false;
   std::int32_t first_unfinished = 0;  // All occurrences below this number are done.
   std::vector<occurrence_progress> occurrences;
+  // In force when the record was written, since the queue may be removed later; 0: not recorded.
+  std::int32_t max_attempts = 0;
 
+  // Without the last one, which is encoded behind the others only if it is set.
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->leader_epoch, this->phase, this->ever_started, this->first_unfinished,
