--- a/src/decide/live_job.cc
+++ b/src/decide/live_job.cc
@@ -2,7 +2,7 @@
 // the gang starts again only when no member is placed any more, so two runs of one member
 // never overlap. If one member is done, all are; a failed run of the gang counts once,
 // however many members report it: each counts its own failures, and begins a run with the highest
-// count of all. So nothing but the counts has to be known to a successor.
+// count of all. So of failures nothing but the counts has to be known to a successor.
 
 #include "decide/live_job.h"
 
@@ -56,10 +56,6 @@
   return at == end ? std::optional(out) : std::nullopt;
 }
 
-isolation isolation_of(const live_task& task) {
-  return task.acquitted ? isolation::none : isolation_after(task.crashes);
-}
-
 bool live_occurrence::complete() const {
   return std::all_of(this->steps.begin(), this->steps.end(),
                      [](const live_step& step) { return step.complete(); });
@@ -100,6 +96,7 @@
     this->next_occurrence = std::max(this->next_occurrence, saved.number + 1);
     this->open_occurrences.emplace(saved.number, std::move(occurrence));
   }
+  this->restore_gang_crashes(progress->gang_crashes);
 }
 
 live_occurrence live_job::new_occurrence() const {
@@ -261,7 +258,7 @@
     count_failure(*t);
   }
   if (outcome == run_outcome::crashed) {
-    this->count_crash(step, shape, *t, run);
+    count_crash(step, shape, *t, run);
     this->apply_crash_bound(*t, t->alone, effect);
   }
   effect.step_done = step.complete();
@@ -316,57 +313,6 @@
   ++task.failures;
 }
 
-// Counts once for a run of a gang, however many runners crashed under its members.
-void live_job::count_crash(live_step& step, const step_spec& shape, live_task& task,
-                           std::int32_t run) {
-  if (!shape.gang) {
-    ++task.crashes;
-    task.crashed_run = run;
-    return;
-  }
-  if (task.crashed_run == run) {
-    return;
-  }
-  for (live_task& member : step.tasks) {
-    ++member.crashes;
-    member.crashed_run = run;
-  }
-}
-
-void live_job::apply_crash_bound(const live_task& task, bool was_alone, end_effect& effect) {
-  const bool beyond =
-      task.crashes >= max_crashes || (was_alone && task.crashes >= max_crashes_if_alone);
-  if (!beyond || is_final(this->state)) {
-    return;
-  }
-  this->state = job_phase::failed;
-  effect.job_final = true;
-  effect.given_up = true;
-}
-
-end_effect live_job::crashed_after_all(const task_ref& task, std::int32_t run) {
-  end_effect effect;
-  live_task* const t = this->find(task);
-  if (t == nullptr || t->phase == task_phase::done || run > t->run || run <= t->crashed_run) {
-    return effect;
-  }
-  effect.counted = true;
-  live_step& step =
-      this->open_occurrences.at(task.in.occurrence).steps[static_cast<std::size_t>(task.in.step)];
-  this->count_crash(step, this->spec().steps[static_cast<std::size_t>(task.in.step)], *t, run);
-  this->apply_crash_bound(*t, false, effect);
-  return effect;
-}
-
-void live_job::acquit(const task_ref& task) {
-  live_task& t = *this->find(task);
-  t.acquitted = true;
-  t.alone = false;
-  if (this->spec().steps[static_cast<std::size_t>(task.in.step)].long_running) {
-    t.crashes = 0;
-  }
-}
-
 std::string live_job::checkpoint_of(const task_ref& task) const {
   const live_step& step =
       this->open_occurrences.at(task.in.occurrence).steps[static_cast<std::size_t>(task.in.step)];
@@ -419,6 +365,7 @@
   out.ever_started = this->ever_started || this->has_placed_tasks();
   out.first_unfinished = this->first_unfinished;
   out.max_attempts = this->max_attempts;
+  out.gang_crashes = this->counted_gang_crashes();
   for (const auto& [number, occurrence] : this->open_occurrences) {
     occurrence_progress saved;
     saved.number = number;
--- a/src/decide/live_job.h
+++ b/src/decide/live_job.h
@@ -20,9 +20,15 @@
   task_phase phase = task_phase::waiting;
   std::int32_t run = 0;
   std::int32_t failures = 0;
-  std::int32_t crashes = 0;      // Runs under which the runner crashed.
-  std::int32_t crashed_run = 0;  // The latest of these.
-  bool alone = false;            // Nothing else was or will be placed on its runner.
+  std::int32_t crashes = 0;  // Runs under which the runner crashed.
+  // Those of them that this leader has counted, of a gang each with the number of runners. Of a
+  // gang also the latest one that an earlier leader has counted.
+  struct crashed_run {
+    std::int32_t run = 0;
+    std::int32_t runners = 1;
+  };
+  std::vector<crashed_run> crashed_runs;
+  bool alone = false;  // Nothing else was or will be placed on its runner.
   // The longest time from a placement of the task until its runner was found to have crashed;
   // 0: this leader has seen no crash under it.
   millis time_to_crash{0};
@@ -143,7 +149,10 @@
   static void count_failure(live_task& task);
   // Failed runs of the task; of a gang, of any member.
   std::int32_t failures_of(const task_ref& task) const;
-  void count_crash(live_step& step, const step_spec& shape, live_task& task, std::int32_t run);
+  static void count_crash(live_step& step, const step_spec& shape, live_task& task,
+                          std::int32_t run);
+  std::vector<counted_gang_crash> counted_gang_crashes() const;
+  void restore_gang_crashes(const std::vector<counted_gang_crash>& counted);
   // Gives the job up if too many runners have crashed under the task.
   void apply_crash_bound(const live_task& task, bool was_alone, end_effect& effect);
   void close_complete_occurrences();
--- a/src/model/cell_record.cc
+++ b/src/model/cell_record.cc
@@ -108,7 +108,8 @@
 }
 std::string encode(const job_progress& value) {
   const std::string bytes = encode_record(value);
-  return value.max_attempts == 0 ? bytes : bytes + archived(value.max_attempts);
+  const bool usual = value.max_attempts == 0 && value.gang_crashes.empty();
+  return usual ? bytes : bytes + archived(value.max_attempts, value.gang_crashes);
 }
 std::string encode(const run_time_stats& value) {
   return encode_record(value);
@@ -126,8 +127,9 @@
   });
 }
 std::optional<job_progress> decode_progress(const std::string& bytes) {
-  return decode_record<job_progress>(
-      bytes, [](auto& archive, job_progress& value) { archive(value.max_attempts); });
+  return decode_record<job_progress>(bytes, [](auto& archive, job_progress& value) {
+    archive(value.max_attempts, value.gang_crashes);
+  });
 }
 std::optional<run_time_stats> decode_run_time_stats(const std::string& bytes) {
   return decode_record<run_time_stats>(bytes);
--- a/src/model/cell_record.h
+++ b/src/model/cell_record.h
@@ -80,6 +80,19 @@
   void unpack_tasks(const std::string& packed);
 };
 
+// The latest run of a gang that counts as a crash, so that it counts once whichever of the runners
+// of its members are found to have crashed, and by whatever leader.
+struct counted_gang_crash {
+  std::int32_t occurrence = 0;
+  std::int32_t step = 0;
+  std::int32_t run = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->occurrence, this->step, this->run);
+  }
+};
+
 enum class job_phase : std::uint8_t { queued, running, completed, failed, cancelled };
 
 inline bool is_final(job_phase phase) {
@@ -97,8 +110,9 @@
   std::vector<occurrence_progress> occurrences;
   // In force when the record was written, since the queue may be removed later; 0: not recorded.
   std::int32_t max_attempts = 0;
+  std::vector<counted_gang_crash> gang_crashes;
 
-  // Without the last one, which is encoded behind the others only if it is set.
+  // Without the last two, which are encoded behind the others only if one of them is set.
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->leader_epoch, this->phase, this->ever_started, this->first_unfinished,
--- a/src/model/testing/record_bytes_test.cc
+++ b/src/model/testing/record_bytes_test.cc
@@ -152,6 +152,23 @@
   CHECK(read->occurrences[0].tasks == full_progress().occurrences[0].tasks);
 }
 
+TEST_CASE(
+    "A job's attempts and its gangs' crashes are written behind the bytes of the first format") {
+  job_progress with_attempts = full_progress();
+  with_attempts.max_attempts = 4;
+  with_attempts.gang_crashes = {{2, 1, 4}};
+  const std::string bytes = encode(with_attempts);
+  CHECK(to_hex(bytes).substr(0, progress_bytes.size()) == progress_bytes);
+  const auto read = decode_progress(bytes);
+  REQUIRE(read.has_value());
+  CHECK(read->max_attempts == 4);
+  REQUIRE(read->gang_crashes.size() == 1);
+  CHECK(read->gang_crashes[0].run == 4);
+  CHECK(read->occurrences[0].tasks == full_progress().occurrences[0].tasks);
+  CHECK(decode_progress(from_hex(progress_bytes))->max_attempts == 0);
+  CHECK_FALSE(decode_progress(bytes.substr(0, bytes.size() - 1)).has_value());
+}
+
 TEST_CASE("Run-time statistics have the bytes that the first format wrote") {
   CHECK(to_hex(encode(full_times())) == times_bytes);
   const auto read = decode_run_time_stats(from_hex(times_bytes));
