A job is failed by the attempts of the configuration as it is in the log

A run that ends as failed in between was judged by the number that was read before the outage, and the phase failed is for good. Class: a verdict for good from a view that may be out of date.

Now the last failed end, and a lower number, count only when the configuration has been read to its end once more (read_barrier): one read for each job that fails. The end of a run that waits for it is acknowledged only to the incarnation that listed it.

--- a/src/cell/cell_daemon.cc
+++ b/src/cell/cell_daemon.cc
@@ -30,6 +30,7 @@
       advice(given.advice, now),
       config_follower(loop, given.log, now, out, given.sources.config_topic(), {},
                       {[this](const logged_record& r) { this->config_record(r); }, [] {}, {}}),
+      config_barrier(loop, given.log, given.sources.config_topic(), this->config_follower),
       work(loop, given.log, now, out,
            follow_policy(chosen.self.text, chosen.host.relative_capacity(), now.now(),
                          chosen.follow),
@@ -194,6 +195,9 @@
                         return this->runner_follower ? this->runner_follower->followed()
                                                      : followed_time{};
                       },
+                      [this](std::function<void()> on_current) {
+                        this->config_barrier.pass(std::move(on_current));
+                      },
                       [this](const logged_record& record) { this->work_record(record); }});
   // Peers that the previous leader knew can be used for advice queries and as agents at
   // once.
--- a/src/cell/cell_daemon.h
+++ b/src/cell/cell_daemon.h
@@ -18,6 +18,7 @@
 #include "cell/peer_port.h"
 #include "cell/peer_request_handler.h"
 #include "cell/peer_state_client.h"
+#include "cell/read_barrier.h"
 #include "cell/record_forwarder.h"
 #include "cell/submission_writer.h"
 #include "cell/work_follower.h"
@@ -134,6 +135,7 @@
   job_handler jobs;
   advice_call_queue advice;
   log_follower config_follower;
+  read_barrier config_barrier;
   work_follower work;
   peer_request_handler peer_requests;
   leadership election;
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -105,7 +105,7 @@
 void leader::configure(const cell_config& config) {
   this->keep_attempts_of_removed_queues(config);
   this->state.config = config;
-  this->update_attempts();
+  this->update_attempts_when_current();
   this->request_plan();
 }
 
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -71,6 +71,8 @@
   std::function<void(const std::string& why)> on_epoch_over;
   // The latest time in which the discovery list was followed without a gap.
   std::function<followed_time()> runners_followed;
+  // Calls back when the configuration is at least as new as it was in the log at the call.
+  std::function<void(std::function<void()>)> when_configuration_is_current;
   // Called for each record of the leader as soon as it is in the log.
   std::function<void(const logged_record&)> on_record;
 };
@@ -133,6 +135,18 @@
   instant leases_until(const std::string& runner) override;
   bool has_room(const std::string& runner) override;
 
+  // The end of a run as its runner lists it.
+  struct listed_end {
+    std::string runner;
+    run_key run;
+    run_outcome how = run_outcome::lost;
+    std::string checkpoint;
+    std::int64_t number = 0;
+    std::int64_t incarnation = 0;  // Of the runner.
+  };
+  // Settles the run, and acknowledges its end once that is in the log.
+  void apply_run_end(const listed_end& end);
+
   void tick();
   void forget_inherited_bounds(instant now);
   // Logs which runners the next renewal names and the last one did not, and the other way round.
@@ -194,6 +208,8 @@
   void keep_attempts_of_removed_queues(const cell_config& next);
   // Applies changed numbers of attempts to the jobs that are open.
   void update_attempts();
+  // The same as soon as the configuration is at least as new as it is in the log now.
+  void update_attempts_when_current();
   // Logs why a job is failed: the bound in force, and the runs that failed.
   void report_failed(live_job& job, const task_ref& task) const;
 
--- a/src/cell/leader_attempts.cc
+++ b/src/cell/leader_attempts.cc
@@ -39,6 +39,15 @@
   }
 }
 
+// One read may deliver several configurations, and a job is failed for good.
+void leader::update_attempts_when_current() {
+  this->on.when_configuration_is_current([this, a = std::weak_ptr<bool>(this->alive)] {
+    if (!a.expired()) {
+      this->update_attempts();
+    }
+  });
+}
+
 void leader::update_attempts() {
   std::vector<job_id> exhausted;
   for (auto& [id, job] : this->state.jobs) {
--- a/src/cell/leader_run_ends.cc
+++ b/src/cell/leader_run_ends.cc
@@ -19,18 +19,40 @@
   return this->state.runners.remove(runner, run);
 }
 
+// A job is failed for good, so not by a number of attempts that the operator has raised since the
+// configuration was last read.
 void leader::run_ended(const std::string& runner, const run_key& run, run_outcome how,
                        const std::string& checkpoint, std::int64_t number) {
-  this->closed.add(runner, {run, std::string(to_string(how)), this->services.time.now()});
-  this->settle_run(runner, run, how, checkpoint);
-  const auto stored = [this, runner, number] {
-    const auto it = this->sessions.find(runner);
-    if (it != this->sessions.end()) {
-      it->second->end_stored(number);
+  const listed_end end{runner,     run,    how,
+                       checkpoint, number, this->session_of(runner).last_incarnation()};
+  const auto it = this->state.jobs.find(run.task.in.job);
+  const bool would_fail = how == run_outcome::failed && it != this->state.jobs.end() &&
+                          it->second.would_fail(run.task, run.run);
+  if (!would_fail) {
+    this->apply_run_end(end);
+    return;
+  }
+  this->on.when_configuration_is_current([this, end, a = std::weak_ptr<bool>(this->alive)] {
+    if (!a.expired()) {
+      this->update_attempts();
+      this->apply_run_end(end);
+    }
+  });
+}
+
+void leader::apply_run_end(const listed_end& end) {
+  this->closed.add(end.runner,
+                   {end.run, std::string(to_string(end.how)), this->services.time.now()});
+  this->settle_run(end.runner, end.run, end.how, end.checkpoint);
+  const auto stored = [this, end] {
+    const auto it = this->sessions.find(end.runner);
+    // Another incarnation numbers its ends anew.
+    if (it != this->sessions.end() && it->second->last_incarnation() == end.incarnation) {
+      it->second->end_stored(end.number);
     }
   };
-  if (this->state.jobs.contains(run.task.in.job)) {
-    this->writer.write(run.task.in.job, stored);
+  if (this->state.jobs.contains(end.run.task.in.job)) {
+    this->writer.write(end.run.task.in.job, stored);
   } else {
     this->services.io.post([stored, a = std::weak_ptr<bool>(this->alive)] {
       if (!a.expired()) {
--- a/src/cell/leader_takeover.cc
+++ b/src/cell/leader_takeover.cc
@@ -27,6 +27,7 @@
                                             {"open_jobs", this->state.jobs.size()},
                                             {"leases_ms", (this->inherited.until - now).value},
                                             {"bounded_runners", this->inherited.by_runner.size()}});
+  this->update_attempts_when_current();
   this->tick();
 }
 
--- a/src/cell/log_follower.cc
+++ b/src/cell/log_follower.cc
@@ -90,16 +90,20 @@
                  });
 }
 
+void log_follower::deliver(const read_answer& answer) {
+  for (const logged_record& record : answer.records) {
+    this->on.on_record(record);
+  }
+  this->next = std::max(this->next, answer.next);
+}
+
 void log_follower::read_answered(const read_answer& answer) {
   if (answer.history_dropped) {
     this->events.write("log_history_dropped", {{"topic", this->topic}, {"next", this->next}});
     this->start();
     return;
   }
-  for (const logged_record& record : answer.records) {
-    this->on.on_record(record);
-  }
-  this->next = std::max(this->next, answer.next);
+  this->deliver(answer);
   const bool all_read = this->next >= answer.end;
   if (all_read) {
     this->caught_up_at = this->time.now();
--- a/src/cell/log_follower.h
+++ b/src/cell/log_follower.h
@@ -43,6 +43,8 @@
   void throttle(millis min_interval);
   // Reads now if the next read is only delayed by the minimum interval.
   void read_now();
+  // Delivers the records of a read that began at position().
+  void deliver(const read_answer& answer);
   // True if all records were delivered once, including those appended during the load.
   bool loaded() const { return this->is_loaded; }
   // When the end of the topic was last reached.
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -87,6 +87,8 @@
   bool has_runs() const { return !this->runs.empty(); }
   // True if the runner does not answer, or has not yet, although there are runs on it.
   bool out_of_contact() const;
+  // The incarnation that reported last under our token; 0: none yet.
+  std::int64_t last_incarnation() const { return this->incarnation; }
   // True if the runner has answered under our token and not restarted since, as far as known.
   bool is_admitted() const { return this->admitted; }
   // For how long the run is known to have run: from the answer to its start, or the first report
--- a/src/decide/live_job.cc
+++ b/src/decide/live_job.cc
@@ -195,6 +195,15 @@
   return !shape.long_running && task.failures >= this->max_attempts;
 }
 
+bool live_job::would_fail(const task_ref& task, std::int32_t run) const {
+  const live_task* const t = this->find(task);
+  if (t == nullptr || t->phase != task_phase::placed || t->run != run || is_final(this->state)) {
+    return false;
+  }
+  const step_spec& shape = this->spec().steps[static_cast<std::size_t>(task.in.step)];
+  return !shape.long_running && t->failures + 1 >= this->max_attempts;
+}
+
 bool live_job::set_attempts(std::int32_t attempts) {
   this->max_attempts = attempts;
   if (is_final(this->state)) {
--- a/src/decide/live_job.h
+++ b/src/decide/live_job.h
@@ -119,6 +119,8 @@
              std::int64_t runner_incarnation, instant now);
   // The run number for the next start of the task. All members of a gang share it.
   std::int32_t next_run(const task_ref& task);
+  // True if the job would be failed if this run ended as failed.
+  bool would_fail(const task_ref& task, std::int32_t run) const;
   // Applies the end of a run. Of an earlier run than the current one, which was given up,
   // only `done` counts: the task must not run again then.
   end_effect finish(const task_ref& task, std::int32_t run, run_outcome outcome,
