A successor calls the runners of its runs before their entries are back

Only the list had the runners' addresses. Now the leader writes where each runner was reached into the work topic with its next batch (runner_contacts), so who knows of a run knows where its runner was. A runner that is called so gets no new work until its entry is listed, and what a contact says of its incarnation is no proof of a crash.

--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -67,6 +67,7 @@
           [this](const job_id& job) { return this->newest_record(job); },
           [this](const logged_record& record) { this->on.on_record(record); },
           [this] { this->on.on_epoch_over("fenced in the log by a newer leader"); }),
+      contacts(this->writer, given.time),
       dispatcher(given.peers, given.advice, given.time, given.events, this->self,
                  [this](const step_ref& step, const std::vector<std::string>& asked, bool answered,
                         const std::vector<ticket>& tickets) {
@@ -144,6 +145,7 @@
   const bool was_draining = before != nullptr && before->entry.draining;
   this->state.runners.update(entry);
   this->agents.runner_listed(entry.id, entry.domain);
+  this->contacts.listed(entry);
   this->count_late_crashes(entry);
   if (entry.draining && !was_draining) {
     this->services.events.write("runner_draining", {{"runner", entry.id}});
@@ -156,6 +158,7 @@
 void leader::runner_unlisted(const std::string& id) {
   this->services.events.write("runner_unlisted", {{"runner", id}});
   this->state.runners.mark_unlisted(id);
+  this->contacts.unlisted(id);
   const auto it = this->sessions.find(id);
   if (it != this->sessions.end()) {
     it->second->unlist();
@@ -251,6 +254,7 @@
   this->state.runners.quarantine_stalled(this->services.time.now());
   this->report_load();
   this->save_run_times();
+  this->forget_departed_runners();
   this->request_plan();
 }
 
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -17,6 +17,7 @@
 #include "cell/inherited_leases.h"
 #include "cell/lease_ledger.h"
 #include "cell/progress_writer.h"
+#include "cell/runner_contacts.h"
 #include "cell/runner_session.h"
 #include "decide/job_table.h"
 #include "decide/median_clock.h"
@@ -165,6 +166,12 @@
   // The time of day by the median of the daemons' clocks.
   std::int64_t wall_ms() const;
   void adopt_run(live_job& job, const task_ref& task, const live_task& t);
+  // Calls the runners with adopted runs where the previous leader reached them. They get no new
+  // work until they are listed.
+  void contact_unlisted_runners();
+  void forget_departed_runners();
+  // True if runs may be on the runner.
+  bool is_awaited(const std::string& runner) const;
   // Logs what distinguishes the causes of an untracked run.
   void report_untracked_run(const std::string& runner, const run_key& run);
   // Logs and counts that the runs which may be on the runner need more than its capacity.
@@ -222,6 +229,7 @@
   median_clock wall;
   placer planner;
   progress_writer writer;
+  runner_contacts contacts;
   advice_dispatcher dispatcher;
   agent_pool agents;
   command_gate gate;  // Between the sessions and the agents.
--- a/src/cell/leader_takeover.cc
+++ b/src/cell/leader_takeover.cc
@@ -28,9 +28,36 @@
                                             {"leases_ms", (this->inherited.until - now).value},
                                             {"bounded_runners", this->inherited.by_runner.size()}});
   this->update_attempts_when_current();
+  this->contacts.inherit(table.contacts());
+  this->contact_unlisted_runners();
   this->tick();
 }
 
+// After an outage of the log the list may lack all runners for seconds, while their leases end.
+void leader::contact_unlisted_runners() {
+  std::int64_t called = 0;
+  for (const auto& [id, contact] : this->contacts.known()) {
+    if (!this->is_awaited(id)) {
+      continue;
+    }
+    this->agents.runner_listed(id, contact.domain);
+    this->session_of(id).use_last_known_address(contact);
+    ++called;
+  }
+  this->services.events.write("unlisted_runners_called", {{"runners", called},
+                                                          {"known", this->contacts.known().size()},
+                                                          {"with_runs", this->sessions.size()}});
+}
+
+void leader::forget_departed_runners() {
+  this->contacts.forget_departed([this](const std::string& id) { return this->is_awaited(id); });
+}
+
+bool leader::is_awaited(const std::string& runner) const {
+  const auto it = this->sessions.find(runner);
+  return it != this->sessions.end() && it->second->has_runs();
+}
+
 void leader::adopt(const job_record& record, instant accepted) {
   if (!record.submission || record.settled() || record.submission->spec.steps.empty()) {
     return;
--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -66,6 +66,18 @@
   this->poll();
 }
 
+// No reading of its clock is known. That needs none: nothing is granted before its first answer.
+void runner_session::use_last_known_address(const runner_contact& contact) {
+  if (this->reachable()) {
+    return;
+  }
+  this->entry.id = this->id;
+  this->entry.address = contact.address;
+  this->entry.domain = contact.domain;
+  this->entry.incarnation = contact.incarnation;
+  this->poll();
+}
+
 void runner_session::recover(const run_key& run, std::int64_t placed_on) {
   tracked_run& tracked = this->runs[run];
   tracked.recovered = true;
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -14,6 +14,7 @@
 #include "cell/runner_port.h"
 #include "cell/timer.h"
 #include "decide/runner_table.h"
+#include "model/runner_contact.h"
 
 namespace monsoonmux::cell {
 
@@ -74,6 +75,8 @@
 
   void update(const runner_entry& entry);
   void unlist() { this->listed = false; }
+  // The runner is not listed now, and was last reached so. It may have left, or restarted.
+  void use_last_known_address(const runner_contact& contact);
   // Tracks a run that a previous leader may have started on this runner.
   // `placed_on`: the incarnation that its start was meant for; 0: unknown.
   void recover(const run_key& run, std::int64_t placed_on);
--- a/src/cell/runner_session_reports.cc
+++ b/src/cell/runner_session_reports.cc
@@ -151,7 +151,8 @@
   const auto differs = [&tracked](std::int64_t other) {
     return other != 0 && other != tracked.placed_on;
   };
-  return tracked.placed_on != 0 && (differs(this->incarnation) || differs(this->entry.incarnation));
+  return tracked.placed_on != 0 &&
+         (differs(this->incarnation) || (this->listed && differs(this->entry.incarnation)));
 }
 
 // What the conclusion that a run is over without a listed end was based on.
--- a/src/decide/job_table.cc
+++ b/src/decide/job_table.cc
@@ -63,6 +63,9 @@
 
 job_table_change job_table::apply(const keyed_record& record, std::int64_t offset) {
   const auto key = parse_key(record.key);
+  if (key && key->kind == record_kind::contact) {
+    return this->apply_contact(key->job.text, record.value);
+  }
   if (!key || record.value.empty()) {
     return key ? job_table_change::nothing : job_table_change::unreadable;
   }
@@ -73,6 +76,7 @@
       return this->apply_progress(key->job, record.value, offset);
     case record_kind::run_times:
       return this->apply_run_times(record.value);
+    case record_kind::contact:
     case record_kind::cancellation:
       break;
   }
@@ -134,6 +138,19 @@
   return job_table_change::learned;
 }
 
+job_table_change job_table::apply_contact(const std::string& runner, const std::string& value) {
+  if (value.empty()) {
+    this->contacts_by_runner.erase(runner);
+    return job_table_change::learned;
+  }
+  auto read = decode_runner_contact(value);
+  if (!read) {
+    return job_table_change::unreadable;
+  }
+  this->contacts_by_runner[runner] = std::move(*read);
+  return job_table_change::learned;
+}
+
 const job_record* job_table::find(const job_id& job) const {
   const auto it = this->records.find(job);
   return it == this->records.end() ? nullptr : &it->second;
@@ -146,6 +163,7 @@
 
 void job_table::clear() {
   this->times.reset();
+  this->contacts_by_runner.clear();
   this->records.clear();
   this->pending_by_queue.clear();
 }
--- a/src/decide/job_table.h
+++ b/src/decide/job_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -49,10 +50,14 @@
   std::int64_t pending(const queue_id& queue) const;
   // The run time statistics of the newest leader; nothing if none was written yet.
   const std::optional<run_time_stats>& run_times() const { return this->times; }
+  // Where the runners were reached, by their ids, as the newest leader knew.
+  const std::map<std::string, runner_contact>& contacts() const { return this->contacts_by_runner; }
   void clear();
 
  private:
   job_table_change apply_run_times(const std::string& value);
+  // Without a value the runner is forgotten.
+  job_table_change apply_contact(const std::string& runner, const std::string& value);
   job_table_change apply_submission(const job_id& job, const std::string& value);
   job_table_change apply_progress(const job_id& job, const std::string& value, std::int64_t offset);
   // Frees the spec and the task states of a settled job.
@@ -62,6 +67,7 @@
   void recount(const job_record& record, bool counted_before);
 
   std::optional<run_time_stats> times;
+  std::map<std::string, runner_contact> contacts_by_runner;
   std::unordered_map<job_id, job_record> records;
   std::unordered_map<queue_id, std::int64_t> pending_by_queue;
 };
--- a/src/model/cell_record.cc
+++ b/src/model/cell_record.cc
@@ -89,13 +89,18 @@
   return static_cast<char>(kind) + job.text;
 }
 
+std::string key_of_contact(const std::string& runner) {
+  return static_cast<char>(record_kind::contact) + runner;
+}
+
 std::optional<parsed_key> parse_key(std::string_view key) {
   if (key.size() < 2) {
     return std::nullopt;
   }
   const auto kind = static_cast<record_kind>(key.front());
   if (kind != record_kind::submission && kind != record_kind::cancellation &&
-      kind != record_kind::progress && kind != record_kind::run_times) {
+      kind != record_kind::progress && kind != record_kind::run_times &&
+      kind != record_kind::contact) {
     return std::nullopt;
   }
   return parsed_key{kind, job_id(std::string(key.substr(1)))};
@@ -120,6 +125,9 @@
 std::string encode(const lease_bounds& value) {
   return encode_record(value);
 }
+std::string encode(const runner_contact& value) {
+  return encode_record(value);
+}
 
 std::optional<job_submission> decode_submission(const std::string& bytes) {
   return decode_record<job_submission>(bytes, [](auto& archive, job_submission& value) {
@@ -140,5 +148,8 @@
 std::optional<lease_bounds> decode_lease_bounds(const std::string& bytes) {
   return decode_record<lease_bounds>(bytes);
 }
+std::optional<runner_contact> decode_runner_contact(const std::string& bytes) {
+  return decode_record<runner_contact>(bytes);
+}
 
 }  // namespace monsoonmux::cell
--- a/src/model/cell_record.h
+++ b/src/model/cell_record.h
@@ -12,6 +12,7 @@
 #include "base/quantity.h"
 #include "model/job_spec.h"
 #include "model/lease_bounds.h"
+#include "model/runner_contact.h"
 
 // Records that the cell keeps in the shared log. Each record has a key and replaces the
 // previous record of that key. The newest records of all keys are the complete state, and
@@ -183,6 +184,7 @@
   cancellation = 'c',
   progress = 's',
   run_times = 't',  // One record for the whole cell, under run_times_id.
+  contact = 'r',    // Under the runner's id in place of a job's.
 };
 
 // A record as stored in the log.
@@ -196,6 +198,7 @@
 inline const job_id run_times_id{"-"};
 
 std::string key_of(record_kind kind, const job_id& job);
+std::string key_of_contact(const std::string& runner);
 // The parts of a key.
 struct parsed_key {
   record_kind kind;
@@ -209,6 +212,7 @@
 std::string encode(const run_time_stats& value);
 std::string encode(const leader_claim& value);
 std::string encode(const lease_bounds& value);
+std::string encode(const runner_contact& value);
 // Inverses of encode(); empty if the bytes are not a record of the type and of this format
 // version.
 std::optional<job_submission> decode_submission(const std::string& bytes);
@@ -216,5 +220,6 @@
 std::optional<run_time_stats> decode_run_time_stats(const std::string& bytes);
 std::optional<leader_claim> decode_claim(const std::string& bytes);
 std::optional<lease_bounds> decode_lease_bounds(const std::string& bytes);
+std::optional<runner_contact> decode_runner_contact(const std::string& bytes);
 
 }  // namespace monsoonmux::cell
