A runner that was draining has left and not crashed

A lasting task was counted a crash for each planned leave of its runner, as the runner was then missing from the list or back as another incarnation, and after five leaves its job was shown as failed (LOST). Now an incarnation that was listed as draining before it ended is no crash, also for a successor, which finds that in the contacts in the log.

--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -195,6 +195,8 @@
   // Counts the crash under the runs whose lease lapsed before the runner was back.
   void count_late_crashes(const runner_entry& entry);
   void count_late_crash(const std::string& runner, const run_key& run);
+  // True if the incarnation of the runner was draining, so that its end is no crash.
+  bool was_to_leave(const std::string& runner, std::int64_t incarnation);
   void finish_job(live_job& job);
   void after_end(live_job& job, const run_key& run, run_outcome how, const end_effect& effect);
   void stop_runs(const live_job& job);
--- a/src/cell/leader_crashes.cc
+++ b/src/cell/leader_crashes.cc
@@ -37,7 +37,8 @@
                                     std::string_view why) {
   const live_task* const task = this->possible_cause(run);
   const bool lapsed = why == "lease_lapsed";
-  if (task == nullptr || (!lapsed && why != "runner_crashed")) {
+  if (task == nullptr || (!lapsed && why != "runner_crashed") ||
+      this->was_to_leave(runner, task->runner_incarnation)) {
     return run_outcome::lost;
   }
   const runner_state* const known = this->state.runners.find(runner);
@@ -49,6 +50,11 @@
   return run_outcome::crashed;
 }
 
+bool leader::was_to_leave(const std::string& runner, std::int64_t incarnation) {
+  const runner_state* const known = this->state.runners.find(runner);
+  return known != nullptr && known->was_to_leave(incarnation);
+}
+
 bool leader::has_acquitted_itself(const std::string& runner, const run_key& run) {
   const auto it = this->state.jobs.find(run.task.in.job);
   const live_task* const task = it == this->state.jobs.end() ? nullptr : it->second.find(run.task);
--- a/src/cell/leader_takeover.cc
+++ b/src/cell/leader_takeover.cc
@@ -37,6 +37,9 @@
 void leader::contact_unlisted_runners() {
   std::int64_t called = 0;
   for (const auto& [id, contact] : this->contacts.known()) {
+    if (contact.draining) {
+      this->state.runners.mark_drained(id, contact.incarnation);
+    }
     if (!this->is_awaited(id)) {
       continue;
     }
--- a/src/decide/runner_table.cc
+++ b/src/decide/runner_table.cc
@@ -11,6 +11,12 @@
 
 runner_state& runner_table::update(const runner_entry& entry) {
   runner_state& state = this->by_id[entry.id];
+  if (state.entry.draining && state.entry.incarnation != entry.incarnation) {
+    state.drained_incarnation = state.entry.incarnation;
+  }
+  if (!entry.draining && state.drained_incarnation == entry.incarnation) {
+    state.drained_incarnation = 0;
+  }
   state.entry = entry;
   state.listed = true;
   return state;
@@ -22,6 +28,12 @@
   }
 }
 
+void runner_table::mark_drained(const std::string& id, std::int64_t incarnation) {
+  if (runner_state* state = this->find(id)) {
+    state->drained_incarnation = incarnation;
+  }
+}
+
 runner_state* runner_table::find(const std::string& id) {
   const auto it = this->by_id.find(id);
   return it == this->by_id.end() ? nullptr : &it->second;
--- a/src/decide/runner_table.h
+++ b/src/decide/runner_table.h
@@ -51,6 +51,8 @@
   runner_entry entry;
   bool listed = false;    // Its entry is in the discovery list.
   bool admitted = false;  // It answered under our fencing token; its capacity is known.
+  // The latest incarnation before the present one that was draining when it was last listed.
+  std::int64_t drained_incarnation = 0;
   std::map<run_key, allocation> allocations;
   resources used;
   std::int32_t best_effort_runs = 0;
@@ -69,6 +71,11 @@
            this->quarantined_until <= now && this->runs_of_unknown_need == 0;
   }
   bool has_label(const std::string& label) const;
+  // True if this incarnation was to leave, so that its absence or end is no crash.
+  bool was_to_leave(std::int64_t incarnation) const {
+    return incarnation != 0 && (incarnation == this->drained_incarnation ||
+                                (incarnation == this->entry.incarnation && this->entry.draining));
+  }
 };
 
 struct runner_table_options {
@@ -94,6 +101,8 @@
   // Adds or updates a runner from an entry of the discovery list.
   runner_state& update(const runner_entry& entry);
   void mark_unlisted(const std::string& id);
+  // The incarnation was draining when it was last listed.
+  void mark_drained(const std::string& id, std::int64_t incarnation);
   runner_state* find(const std::string& id);
   void erase(const std::string& id) { this->by_id.erase(id); }
   std::unordered_map<std::string, runner_state>& all() { return this->by_id; }
