A lapsed lease is no crash until the runner proves it or stays away

Class: absence of evidence is taken for evidence, by a list that is itself out of date.

Now such a run is suspected (crash_suspects). It counts when another incarnation of its runner is seen, or when the runner stays away from a list that has been followed without a gap for 3 s, since living runners are back within 2 s. For the last crash that a task may have, which is final, the runner itself must have been missing for so long; whether it is the last one is asked when it is counted. A task that one crash more would end does not start meanwhile, 9.5 s at most, or 15 s while the list is not followed. The suspicion is part of the record of the waiting task, so a successor knows it.

The crash check now runs at the end of the random, long, lasting and deadly plays. BUDGET over an outage is checked by outage_budget_test.

--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -146,7 +146,7 @@
   this->state.runners.update(entry);
   this->agents.runner_listed(entry.id, entry.domain);
   this->contacts.listed(entry);
-  this->count_late_crashes(entry);
+  this->confirm_suspects(entry);
   if (entry.draining && !was_draining) {
     this->services.events.write("runner_draining", {{"runner", entry.id}});
   }
@@ -157,7 +157,7 @@
 
 void leader::runner_unlisted(const std::string& id) {
   this->services.events.write("runner_unlisted", {{"runner", id}});
-  this->state.runners.mark_unlisted(id);
+  this->state.runners.mark_unlisted(id, this->services.time.now());
   this->contacts.unlisted(id);
   const auto it = this->sessions.find(id);
   if (it != this->sessions.end()) {
@@ -166,13 +166,14 @@
 }
 
 void leader::runner_entry_unreadable(const std::string& id) {
-  this->state.runners.mark_unlisted(id);
+  this->state.runners.mark_unlisted(id, this->services.time.now());
 }
 
 void leader::runner_admitted(const std::string& id) {
   if (runner_state* const runner = this->state.runners.find(id)) {
     runner->admitted = true;
   }
+  this->disprove_suspects(id);
   this->check_capacity(id);
   this->request_plan();
 }
@@ -251,6 +252,7 @@
   }
   this->note_ending_runs();
   this->acquit_tasks();
+  this->judge_suspects();
   this->state.runners.quarantine_stalled(this->services.time.now());
   this->report_load();
   this->save_run_times();
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -19,6 +19,7 @@
 #include "cell/progress_writer.h"
 #include "cell/runner_contacts.h"
 #include "cell/runner_session.h"
+#include "decide/crash_suspects.h"
 #include "decide/job_table.h"
 #include "decide/median_clock.h"
 #include "decide/placer.h"
@@ -170,7 +171,7 @@
   // work until they are listed.
   void contact_unlisted_runners();
   void forget_departed_runners();
-  // True if runs may be on the runner.
+  // True if runs may be on the runner, or if it is not known whether it crashed under one.
   bool is_awaited(const std::string& runner) const;
   // Logs what distinguishes the causes of an untracked run.
   void report_untracked_run(const std::string& runner, const run_key& run);
@@ -181,22 +182,36 @@
                   const std::string& checkpoint);
   // The task of the run, if the run may be why its runner crashed; null otherwise.
   const live_task* possible_cause(const run_key& run) const;
-  // What the loss of a run means for its task. Remembers a run whose lease has lapsed, until it
-  // is known whether its runner crashed.
+  // What the loss of a run means for its task.
   run_outcome outcome_of_loss(const std::string& runner, const run_key& run, std::string_view why);
   // For how long the discovery list has been followed without a gap.
   millis list_followed_for() const;
-  // Logs that a runner crashed under the run, and whether the task is given up for it.
-  void report_crash(const std::string& runner, const run_key& run, const live_task& task,
-                    const end_effect& effect);
+  // The present run of the task as one under which its runner may have crashed.
+  suspected_run suspect_of(const run_key& run, const live_task& task) const;
+  // Logs the crash and whether the task is given up for it.
+  void crash_counted(const std::string& runner, const suspected_run& crashed, live_task& task,
+                     const end_effect& effect);
   // Ends the isolation of tasks that have run for longer than their crashes took to come.
   void acquit_tasks();
   bool has_acquitted_itself(const std::string& runner, const run_key& run);
-  // Counts the crash under the runs whose lease lapsed before the runner was back.
-  void count_late_crashes(const runner_entry& entry);
-  void count_late_crash(const std::string& runner, const run_key& run);
+  // Adds the run, whose lease has lapsed, to the suspects. Returns true if its runner is gone, so
+  // that it counts as crashed.
+  bool record_lapse(const std::string& runner, const run_key& run, const live_task& task);
+  runner_absence absence_of(const std::string& runner);
+  // True if a crash in this run would be the last one that its task may have.
+  bool would_end_job(const suspected_run& suspect) const;
   // True if the incarnation of the runner was draining, so that its end is no crash.
   bool was_to_leave(const std::string& runner, std::int64_t incarnation);
+  // Counts the runs that were suspected on earlier incarnations of the runner.
+  void confirm_suspects(const runner_entry& entry);
+  // The runner runs on in the incarnation that it had: nothing crashed it.
+  void disprove_suspects(const std::string& runner);
+  // Counts the suspected runs whose runners stay away from the list, and ends holds that are over.
+  void judge_suspects();
+  // Returns true if the suspected run counts as a crash now.
+  bool count_late_crash(const std::string& runner, const suspected_run& suspect);
+  // The suspicion of the run is settled; its task may start unless another one holds it.
+  void settle_suspicion(const run_key& run);
   void finish_job(live_job& job);
   void after_end(live_job& job, const run_key& run, run_outcome how, const end_effect& effect);
   void stop_runs(const live_job& job);
@@ -236,11 +251,8 @@
   agent_pool agents;
   command_gate gate;  // Between the sessions and the agents.
   closed_runs closed;
-  struct lapsed_run {
-    run_key run;
-    std::int64_t incarnation = 0;  // Of its runner, when it was placed.
-  };
-  std::map<std::string, std::vector<lapsed_run>> lapsed_runs;  // By runner.
+  crash_suspects suspects;
+  instant suspects_judged{0};
   timer plan_timer;
   timer ticker;
   std::map<std::string, std::unique_ptr<runner_session>> sessions;
--- a/src/cell/leader_crashes.cc
+++ b/src/cell/leader_crashes.cc
@@ -16,6 +16,7 @@
 constexpr millis usual_time_to_crash{8'000};
 // A task that has run for this much longer than its crashes took to come is not their cause.
 constexpr millis acquittal_margin{500};
+constexpr millis judging_interval{500};
 
 }  // namespace
 
@@ -30,24 +31,56 @@
   return shape.long_running && age > harmless_after ? nullptr : task;
 }
 
-// A lapsed lease alone says nothing of a crash. But it counts as one if the runner has left the
-// list meanwhile, since it may be back under another id, and for a task that has few starts left,
-// since its runner may be back only after those.
 run_outcome leader::outcome_of_loss(const std::string& runner, const run_key& run,
                                     std::string_view why) {
   const live_task* const task = this->possible_cause(run);
-  const bool lapsed = why == "lease_lapsed";
-  if (task == nullptr || (!lapsed && why != "runner_crashed") ||
-      this->was_to_leave(runner, task->runner_incarnation)) {
+  if (task == nullptr || this->was_to_leave(runner, task->runner_incarnation)) {
     return run_outcome::lost;
   }
+  const bool crashed =
+      why == "runner_crashed" || (why == "lease_lapsed" && this->record_lapse(runner, run, *task));
+  return crashed ? run_outcome::crashed : run_outcome::lost;
+}
+
+suspected_run leader::suspect_of(const run_key& run, const live_task& task) const {
+  suspected_run out;
+  out.run = run;
+  out.incarnation = task.runner_incarnation;
+  out.lost_at = this->services.time.now();
+  out.was_alone = task.alone;
+  return out;
+}
+
+// A lapsed lease alone says nothing of a crash, nor does a list that is out of date.
+bool leader::record_lapse(const std::string& runner, const run_key& run, const live_task& task) {
+  suspected_run suspect = this->suspect_of(run, task);
+  const bool last_start = isolation_after(task.crashes) == isolation::alone;
+  const bool ends_job =
+      ends_by_crashes(task.crashes + this->suspects.uncounted(run.task) + 1, last_start);
+  suspect.counted = this->suspects.absence_counts(this->absence_of(runner), ends_job);
+  suspect.held = ends_job && !suspect.counted;
+  live_task& suspected = *this->state.jobs.at(run.task.in.job).find(run.task);
+  suspected.suspected = !suspect.counted;
+  suspected.held = suspect.held;
+  this->suspects.add(runner, suspect);
+  return suspect.counted;
+}
+
+bool leader::would_end_job(const suspected_run& suspect) const {
+  const auto it = this->state.jobs.find(suspect.run.task.in.job);
+  const live_task* const task =
+      it == this->state.jobs.end() ? nullptr : it->second.find(suspect.run.task);
+  return task != nullptr && ends_by_crashes(task->crashes + 1, suspect.was_alone);
+}
+
+runner_absence leader::absence_of(const std::string& runner) {
   const runner_state* const known = this->state.runners.find(runner);
-  const bool left = known == nullptr || !known->listed;
-  if (lapsed && !left && isolation_after(task->crashes) != isolation::alone) {
-    this->lapsed_runs[runner].push_back({run, task->runner_incarnation});
-    return run_outcome::lost;
+  if (known != nullptr && known->listed) {
+    return {};
   }
-  return run_outcome::crashed;
+  const followed_time followed = this->on.runners_followed();
+  const instant unlisted_since = known != nullptr ? known->unlisted_since : followed.since;
+  return {followed.length(), followed.length_since(unlisted_since)};
 }
 
 bool leader::was_to_leave(const std::string& runner, std::int64_t incarnation) {
@@ -103,17 +136,19 @@
   return this->on.runners_followed().length();
 }
 
-void leader::report_crash(const std::string& runner, const run_key& run, const live_task& task,
-                          const end_effect& effect) {
+void leader::crash_counted(const std::string& runner, const suspected_run& crashed, live_task& task,
+                           const end_effect& effect) {
   const runner_state* const known = this->state.runners.find(runner);
   const nlohmann::ordered_json fields{
-      {"task", run.task.text()},
-      {"run", run.run},
+      {"task", crashed.run.task.text()},
+      {"run", crashed.run.run},
       {"runner", runner},
       {"crashes", task.crashes},
-      {"alone", task.alone},
+      {"alone", crashed.was_alone},
       {"listed", known != nullptr && known->listed},
       {"listed_incarnation", known != nullptr ? known->entry.incarnation : 0},
+      {"placed_on", crashed.incarnation},
+      {"missing_ms", this->absence_of(runner).missing.value},
       {"list_followed_ms", this->list_followed_for().value}};
   this->services.events.write("crash_under_task", fields);
   this->services.metrics.count("crashes_under_tasks");
@@ -123,35 +158,74 @@
   }
 }
 
-void leader::count_late_crashes(const runner_entry& entry) {
-  const auto it = this->lapsed_runs.find(entry.id);
-  if (it == this->lapsed_runs.end()) {
+void leader::confirm_suspects(const runner_entry& entry) {
+  for (const suspected_run& each : this->suspects.take_confirmed(entry.id, entry.incarnation)) {
+    this->settle_suspicion(each.run);
+    if (!each.counted) {
+      this->count_late_crash(entry.id, each);
+    }
+  }
+}
+
+void leader::disprove_suspects(const std::string& id) {
+  const std::int64_t answered = this->session_of(id).last_incarnation();
+  if (answered == 0) {
     return;
   }
-  const std::vector<lapsed_run> lapsed = std::move(it->second);
-  this->lapsed_runs.erase(it);
-  for (const lapsed_run& each : lapsed) {
-    if (each.incarnation != 0 && each.incarnation != entry.incarnation) {
-      this->count_late_crash(entry.id, each.run);
+  for (const suspected_run& each : this->suspects.take_disproved(id, answered)) {
+    this->settle_suspicion(each.run);
+  }
+}
+
+void leader::judge_suspects() {
+  const instant now = this->services.time.now();
+  if (now - this->suspects_judged < judging_interval) {
+    return;
+  }
+  this->suspects_judged = now;
+  const auto absence = [this](const std::string& id) { return this->absence_of(id); };
+  const auto ends_job = [this](const suspected_run& run) { return this->would_end_job(run); };
+  while (const auto absent = this->suspects.count_next_absent(absence, ends_job)) {
+    this->settle_suspicion(absent->suspect.run);
+    if (!this->count_late_crash(absent->runner, absent->suspect)) {
+      this->suspects.drop(absent->runner, absent->suspect.run);  // There is nothing to take back.
     }
   }
+  for (const suspected_run& each : this->suspects.release(now, this->list_followed_for())) {
+    this->settle_suspicion(each.run);
+  }
 }
 
-void leader::count_late_crash(const std::string& runner, const run_key& run) {
+void leader::settle_suspicion(const run_key& run) {
   const auto it = this->state.jobs.find(run.task.in.job);
-  if (it == this->state.jobs.end()) {
+  live_task* const task = it == this->state.jobs.end() ? nullptr : it->second.find(run.task);
+  if (task == nullptr) {
     return;
   }
+  task->suspected = task->suspected && task->run != run.run;
+  if (task->held) {
+    task->held = this->suspects.holds(run.task);
+    this->request_plan();
+  }
+}
+
+bool leader::count_late_crash(const std::string& runner, const suspected_run& suspect) {
+  const auto it = this->state.jobs.find(suspect.run.task.in.job);
+  if (it == this->state.jobs.end() || this->was_to_leave(runner, suspect.incarnation)) {
+    return false;
+  }
   live_job& job = it->second;
-  const end_effect effect = job.crashed_after_all(run.task, run.run);
+  const end_effect effect =
+      job.crashed_after_all(suspect.run.task, suspect.run.run, suspect.was_alone);
   if (!effect.counted) {
-    return;
+    return false;
   }
-  this->report_crash(runner, run, *job.find(run.task), effect);
-  this->writer.write(run.task.in.job);
+  this->crash_counted(runner, suspect, *job.find(suspect.run.task), effect);
+  this->writer.write(suspect.run.task.in.job);
   if (effect.job_final) {
     this->finish_job(job);
   }
+  return true;
 }
 
 }  // namespace monsoonmux::cell
--- a/src/cell/leader_run_ends.cc
+++ b/src/cell/leader_run_ends.cc
@@ -98,7 +98,7 @@
   }
   if (how == run_outcome::crashed) {
     task->time_to_crash = std::max(task->time_to_crash, this->services.time.now() - placed_at);
-    this->report_crash(runner, run, *task, effect);
+    this->crash_counted(runner, this->suspect_of(run, *task), *task, effect);
   }
   for (const superseded_run& later : effect.superseded) {
     this->services.events.write("superseded_run_stopped", {{"task", later.task.text()},
--- a/src/cell/leader_takeover.cc
+++ b/src/cell/leader_takeover.cc
@@ -58,7 +58,7 @@
 
 bool leader::is_awaited(const std::string& runner) const {
   const auto it = this->sessions.find(runner);
-  return it != this->sessions.end() && it->second->has_runs();
+  return (it != this->sessions.end() && it->second->has_runs()) || this->suspects.any_on(runner);
 }
 
 void leader::adopt(const job_record& record, instant accepted) {
@@ -92,6 +92,10 @@
 }
 
 void leader::adopt_run(live_job& job, const task_ref& task, const live_task& t) {
+  if (t.suspected) {
+    this->state.runners.expect(t.runner);
+    this->record_lapse(t.runner, {task, t.run}, t);
+  }
   if (t.phase != task_phase::placed) {
     return;
   }
--- a/src/cell/testing/deadly_task_test.cc
+++ b/src/cell/testing/deadly_task_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "cell/testing/cell_checks.h"
+#include "cell/testing/crash_check.h"
 
 namespace monsoonmux::cell {
 namespace {
@@ -89,6 +90,7 @@
       deadly_fixture f(seed, agents ? through_agents() : fake_cell::short_leases());
       play(f);
       check_history(f.cell);
+      check_crash_counts(f.cell);
     }
   }
 }
@@ -172,6 +174,7 @@
     f.check_given_up(1);
     CHECK(f.cell.phase(job_name(2)) == job_phase::completed);
     check_history(f.cell);
+    check_crash_counts(f.cell);
   }
 }
 
--- a/src/cell/testing/false_crash_test.cc
+++ b/src/cell/testing/false_crash_test.cc
@@ -12,8 +12,20 @@
 constexpr std::uint32_t seeds = 4;
 constexpr int runner_count = 9;
 constexpr int lasting_tasks = 9;
+constexpr int rounds = 6;
+constexpr millis task_time{4'000};
+constexpr millis between_outages{12'000};
 const std::string lasting = "lasting";
 
+void start_lasting_tasks(outage_cell& f) {
+  for (auto& runner : f.cell.runners) {
+    runner->task_time = task_time;
+  }
+  f.submit(lasting, outage_cell::lasting_job(lasting_tasks));
+  f.pass_with_load(outage_cell::leader_lost_after);
+  REQUIRE(f.cell.history.running_of(lasting) == lasting_tasks);
+}
+
 void check_lasting(outage_cell& f, int tasks = lasting_tasks) {
   f.check_calm();
   INFO(f.counted() << " crashes were counted in all");
@@ -21,6 +33,77 @@
   CHECK(f.cell.history.running_of(lasting) == tasks);
 }
 
+TEST_CASE("Outages in which all entries lapse and the leader is lost count as no crashes") {
+  play_outages(seeds, runner_count, [](outage_cell& f, std::uint32_t) {
+    start_lasting_tasks(f);
+    for (int i = 0; i < rounds; ++i) {
+      f.begin_some_outage();
+      f.kill_leader_after(outage_cell::leader_lost_after);
+      f.pass_with_load(between_outages);
+    }
+    check_lasting(f);
+  });
+}
+
+// The successor closes runs whose leases are over before it has read the list.
+TEST_CASE("Outages in which all entries stay and the leader is lost count as no crashes") {
+  play_outages(seeds, runner_count, [](outage_cell& f, std::uint32_t) {
+    f.registrar.lapse_in_outages = false;
+    start_lasting_tasks(f);
+    for (int i = 0; i < rounds; ++i) {
+      f.begin_some_outage();
+      f.kill_leader_after(outage_cell::leader_lost_after);
+      f.pass_with_load(between_outages);
+    }
+    check_lasting(f);
+  });
+}
+
+TEST_CASE("Outages in which all entries lapse count as no crashes") {
+  play_outages(seeds, runner_count, [](outage_cell& f, std::uint32_t) {
+    start_lasting_tasks(f);
+    for (int i = 0; i < rounds; ++i) {
+      f.begin_some_outage();
+      f.pass_with_load(between_outages);
+    }
+    check_lasting(f);
+  });
+}
+
+TEST_CASE("Nobody is given up because a third of the runners crash in an outage with a takeover") {
+  play_outages(seeds, runner_count, [](outage_cell& f, std::uint32_t) {
+    constexpr int crash_rounds = 3;
+    constexpr std::int64_t latest_ms = 3'500;
+    start_lasting_tasks(f);
+    for (int i = 0; i < crash_rounds; ++i) {
+      f.begin_some_outage();
+      f.kill_leader_after(outage_cell::leader_lost_after);
+      f.pass_with_load(millis{1'000 + static_cast<std::int64_t>(f.cell.random() % latest_ms)});
+      const std::size_t first = f.cell.random() % 3;
+      for (std::size_t r = first; r < f.cell.runners.size(); r += 3) {
+        f.cell.runners[r]->crash_for_a_while();
+      }
+      f.pass_with_load(between_outages);
+    }
+    check_lasting(f);
+  });
+}
+
+TEST_CASE("A run that lapsed in an outage is no crash when its runner restarts much later") {
+  play_outages(seeds, runner_count, [](outage_cell& f, std::uint32_t) {
+    constexpr millis much_later{20'000};
+    start_lasting_tasks(f);
+    f.begin_outage();
+    f.kill_leader_after(outage_cell::leader_lost_after);
+    f.pass_with_load(between_outages + much_later);
+    for (std::size_t i = 0; i < f.cell.runners.size(); i += 2) {
+      f.cell.runners[i]->crash_for_a_while();
+    }
+    f.pass_with_load(between_outages);
+    f.check_calm();
+  });
+}
+
 // The only runner of a kind, which one lasting task needs.
 struct pinned_task {
   explicit pinned_task(outage_cell& f) : f(f), runner(*f.cell.runners.back()) {
--- a/src/cell/testing/lasting_fault_test.cc
+++ b/src/cell/testing/lasting_fault_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "cell/testing/cell_checks.h"
+#include "cell/testing/crash_check.h"
 #include "cell/testing/lasting_faults.h"
 #include "cell/testing/seeded_plays.h"
 
@@ -121,6 +122,7 @@
   }
   CHECK(f.running() == lasting_jobs * tasks_of_lasting_job);
   check_history(f.cell);
+  check_crash_counts(f.cell);
 }
 
 TEST_CASE("Under faults that take their runners, lasting tasks run again in time") {
--- a/src/cell/testing/random_fault_test.cc
+++ b/src/cell/testing/random_fault_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "cell/testing/cell_checks.h"
+#include "cell/testing/crash_check.h"
 #include "cell/testing/long_faults.h"
 #include "cell/testing/seeded_plays.h"
 
@@ -195,6 +196,8 @@
   }
   cell.loop.run_for(millis{60'000});
   check_history(cell);
+  check_crash_counts(cell);
+  check_crash_counts_at_last(cell);
   check_jobs(cell);
 }
 
@@ -257,6 +260,8 @@
     cell.loop.run_for(settle_step);
   }
   check_history(cell);
+  check_crash_counts(cell);
+  check_crash_counts_at_last(cell);
   check_jobs(cell);
 }
 
@@ -264,7 +269,7 @@
   play_seeds(150, random_fault_run);
 }
 
-TEST_CASE("Under long faults, no accepted job is lost and no task runs twice") {
+TEST_CASE("Under long faults, no job is lost, no task runs twice, no crash counts that was none") {
   play_seeds(150, long_fault_run);
 }
 
--- a/src/decide/isolation.h
+++ b/src/decide/isolation.h
@@ -31,4 +31,10 @@
   return crashes >= crashes_until_apart ? isolation::apart : isolation::none;
 }
 
+// True if a task under which so many runners have crashed is given up. `was_alone`: nothing else
+// was on the last of them.
+constexpr bool ends_by_crashes(std::int32_t crashes, bool was_alone) {
+  return crashes >= (was_alone ? max_crashes_if_alone : max_crashes);
+}
+
 }  // namespace monsoonmux::cell
--- a/src/decide/live_job.cc
+++ b/src/decide/live_job.cc
@@ -89,6 +89,7 @@
       task.checkpoint = t.checkpoint;
       task.placed_at = now;
       task.inherited = t.phase == task_phase::placed;
+      task.suspected = t.phase == task_phase::waiting && !t.runner.empty();
       if (t.phase == task_phase::done) {
         ++occurrence.steps[step].done;
       }
@@ -158,6 +159,8 @@
   t.inherited = false;
   t.alone = false;
   t.acquitted = false;
+  t.suspected = false;
+  t.held = false;
   t.failures = this->failures_of(task);
   t.resumed = !this->checkpoint_of(task).empty();
   if (this->state == job_phase::queued) {
@@ -385,10 +388,10 @@
         if (t.phase == task_phase::waiting && t.run == 0) {
           continue;
         }
-        saved.tasks.push_back(
-            {static_cast<std::int32_t>(s), static_cast<std::int32_t>(i), t.phase, t.run, t.failures,
-             t.phase == task_phase::placed ? t.runner : std::string(),
-             t.phase == task_phase::placed ? t.runner_incarnation : 0, t.checkpoint, t.crashes});
+        const bool has_runner = t.phase == task_phase::placed || t.suspected;
+        saved.tasks.push_back({static_cast<std::int32_t>(s), static_cast<std::int32_t>(i), t.phase,
+                               t.run, t.failures, has_runner ? t.runner : std::string(),
+                               has_runner ? t.runner_incarnation : 0, t.checkpoint, t.crashes});
       }
     }
     out.occurrences.push_back(std::move(saved));
--- a/src/decide/live_job.h
+++ b/src/decide/live_job.h
@@ -34,6 +34,11 @@
   millis time_to_crash{0};
   // The present run has lasted for longer than the task's crashes took to come.
   bool acquitted = false;
+  // Its latest run was lost, and its runner may have crashed under it.
+  bool suspected = false;
+  // A run of it was lost that may have crashed its runner. With one crash more the task would be
+  // given up, so it does not start until that is known.
+  bool held = false;
   std::string runner;
   std::int64_t runner_incarnation = 0;
   std::string checkpoint;
@@ -125,8 +130,9 @@
   // only `done` counts: the task must not run again then.
   end_effect finish(const task_ref& task, std::int32_t run, run_outcome outcome,
                     const std::string& checkpoint);
-  // A run that was taken for lost was on a runner that has crashed, as is known now.
-  end_effect crashed_after_all(const task_ref& task, std::int32_t run);
+  // A run that was taken for lost was on a runner that has crashed, as is known now. `was_alone`:
+  // nothing else was on that runner.
+  end_effect crashed_after_all(const task_ref& task, std::int32_t run, bool was_alone);
   // The task has run for longer than its crashes took to come, so it is not their cause: its run
   // is not kept from others any more. A lasting task's crashes are forgotten; for others they still
   // count, as the number of their starts is bounded.
--- a/src/decide/live_job_crashes.cc
+++ b/src/decide/live_job_crashes.cc
@@ -76,9 +76,7 @@
 }
 
 void live_job::apply_crash_bound(const live_task& task, bool was_alone, end_effect& effect) {
-  const bool beyond =
-      task.crashes >= max_crashes || (was_alone && task.crashes >= max_crashes_if_alone);
-  if (!beyond || is_final(this->state)) {
+  if (!ends_by_crashes(task.crashes, was_alone) || is_final(this->state)) {
     return;
   }
   this->state = job_phase::failed;
@@ -86,7 +84,7 @@
   effect.given_up = true;
 }
 
-end_effect live_job::crashed_after_all(const task_ref& task, std::int32_t run) {
+end_effect live_job::crashed_after_all(const task_ref& task, std::int32_t run, bool was_alone) {
   end_effect effect;
   live_task* const t = this->find(task);
   if (t == nullptr || t->phase == task_phase::done || run > t->run) {
@@ -100,7 +98,7 @@
   live_step& step =
       this->open_occurrences.at(task.in.occurrence).steps[static_cast<std::size_t>(task.in.step)];
   count_crash(step, shape, *t, run);
-  this->apply_crash_bound(*t, false, effect);
+  this->apply_crash_bound(*t, was_alone, effect);
   return effect;
 }
 
--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -97,7 +97,7 @@
         }
         for (std::size_t t = 0; t < step.tasks.size(); ++t) {
           const task_ref task{{id, number, index}, static_cast<std::int32_t>(t)};
-          if (step.tasks[t].phase == task_phase::waiting &&
+          if (step.tasks[t].phase == task_phase::waiting && !step.tasks[t].held &&
               !this->state.runners.has_untracked_run(task)) {
             waiting.tasks.push_back(static_cast<std::int32_t>(t));
           }
--- a/src/decide/runner_table.cc
+++ b/src/decide/runner_table.cc
@@ -22,10 +22,13 @@
   return state;
 }
 
-void runner_table::mark_unlisted(const std::string& id) {
-  if (runner_state* state = this->find(id)) {
-    state->listed = false;
+void runner_table::mark_unlisted(const std::string& id, instant now) {
+  runner_state* const state = this->find(id);
+  if (state == nullptr || !state->listed) {
+    return;
   }
+  state->listed = false;
+  state->unlisted_since = now;
 }
 
 void runner_table::mark_drained(const std::string& id, std::int64_t incarnation) {
--- a/src/decide/runner_table.h
+++ b/src/decide/runner_table.h
@@ -49,7 +49,9 @@
 // The leader's record of one runner.
 struct runner_state {
   runner_entry entry;
-  bool listed = false;    // Its entry is in the discovery list.
+  bool listed = false;  // Its entry is in the discovery list.
+  // When the removal of its entry was seen, if it is not listed.
+  instant unlisted_since{0};
   bool admitted = false;  // It answered under our fencing token; its capacity is known.
   // The latest incarnation before the present one that was draining when it was last listed.
   std::int64_t drained_incarnation = 0;
@@ -100,7 +102,9 @@
 
   // Adds or updates a runner from an entry of the discovery list.
   runner_state& update(const runner_entry& entry);
-  void mark_unlisted(const std::string& id);
+  // Makes the runner known, although no entry of it has been read yet.
+  void expect(const std::string& id) { this->by_id.try_emplace(id); }
+  void mark_unlisted(const std::string& id, instant now);
   // The incarnation was draining when it was last listed.
   void mark_drained(const std::string& id, std::int64_t incarnation);
   runner_state* find(const std::string& id);
--- a/src/decide/testing/live_job_test.cc
+++ b/src/decide/testing/live_job_test.cc
@@ -272,11 +272,11 @@
   job.place(task(0), 1, "r", 1, now);
   job.finish(task(0), 1, run_outcome::lost, {});
   job.place(task(0), 2, "s", 1, now);
-  CHECK(job.crashed_after_all(task(0), 1).counted);
+  CHECK(job.crashed_after_all(task(0), 1, false).counted);
   CHECK(job.find(task(0))->crashes == 1);
   CHECK(job.find(task(0))->phase == task_phase::placed);
   job.finish(task(0), 2, run_outcome::done, {});
-  CHECK_FALSE(job.crashed_after_all(task(0), 1).counted);
+  CHECK_FALSE(job.crashed_after_all(task(0), 1, false).counted);
 }
 
 TEST_CASE("A task that runs on after its crashes is acquitted; a lasting one begins anew") {
@@ -294,6 +294,25 @@
   CHECK(isolation_of(*job.find(task(0))) == (lasts ? isolation::none : isolation::alone));
 }
 
+TEST_CASE(
+    "A successor knows of a run that may have crashed its runner, until the task starts again") {
+  live_job job = make_job(tasks(1));
+  job.place(task(0), 1, "r", 7, now);
+  job.finish(task(0), 1, run_outcome::lost, {});
+  job.find(task(0))->suspected = true;
+  const auto succeed = [](const live_job& before) {
+    const auto stored = decode_progress(encode(before.progress(epoch{1})));
+    return live_job(before.submission(), stored, 4, now, now);
+  };
+  live_job next = succeed(job);
+  CHECK(next.find(task(0))->suspected);
+  CHECK(next.find(task(0))->runner == "r");
+  CHECK(next.find(task(0))->runner_incarnation == 7);
+  next.place(task(0), 2, "s", 8, now);
+  next.finish(task(0), 2, run_outcome::stopped, {});
+  CHECK_FALSE(succeed(next).find(task(0))->suspected);
+}
+
 TEST_CASE("Crashes of runners do not use up attempts") {
   live_job job = make_job(tasks(1), 1);
   crash(job, 3);
--- a/src/model/cell_record.h
+++ b/src/model/cell_record.h
@@ -52,6 +52,7 @@
   task_phase phase = task_phase::waiting;
   std::int32_t run = 0;       // Number of the latest start.
   std::int32_t failures = 0;  // Runs that ended as failed.
+  // Of a waiting task: where its latest run was lost, while it is not known whether that crashed.
   std::string runner;
   std::int64_t runner_incarnation = 0;
   std::string checkpoint;
