A crash that was counted for an absent runner is taken back when the runner answers

Now an answer of the incarnation that the run was placed on takes the count back (crash_disproved); of a gang only if none of its runners counts as crashed any more.

--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -204,8 +204,9 @@
   bool was_to_leave(const std::string& runner, std::int64_t incarnation);
   // Counts the runs that were suspected on earlier incarnations of the runner.
   void confirm_suspects(const runner_entry& entry);
-  // The runner runs on in the incarnation that it had: nothing crashed it.
+  // The runner runs on in the incarnation that it had: what was counted of that one is taken back.
   void disprove_suspects(const std::string& runner);
+  void take_back(const std::string& runner, const suspected_run& suspect);
   // Counts the suspected runs whose runners stay away from the list, and ends holds that are over.
   void judge_suspects();
   // Returns true if the suspected run counts as a crash now.
--- a/src/cell/leader_crashes.cc
+++ b/src/cell/leader_crashes.cc
@@ -1,6 +1,7 @@
 // How a leader counts the crashes of runners under a task, so that a task that crashes each
 // runner that starts it is given up. The count is part of the task's record, so it is in the
-// log before the next start, and a successor goes on counting.
+// log before the next start, and a successor goes on counting. What is only concluded from the
+// absence of a runner is taken back if the runner answers.
 
 #include <algorithm>
 
@@ -174,7 +175,30 @@
   }
   for (const suspected_run& each : this->suspects.take_disproved(id, answered)) {
     this->settle_suspicion(each.run);
+    if (each.counted) {
+      this->take_back(id, each);
+    }
+  }
+}
+
+void leader::take_back(const std::string& runner, const suspected_run& suspect) {
+  const task_ref& ref = suspect.run.task;
+  const auto it = this->state.jobs.find(ref.in.job);
+  if (it == this->state.jobs.end() || !it->second.disprove_crash(ref, suspect.run.run)) {
+    return;
   }
+  const live_task& task = *it->second.find(ref);
+  this->services.events.write("crash_disproved", {{"task", ref.text()},
+                                                  {"run", suspect.run.run},
+                                                  {"runner", runner},
+                                                  {"incarnation", suspect.incarnation},
+                                                  {"crashes", task.crashes}});
+  this->services.metrics.count("crashes_disproved");
+  if (task.phase == task_phase::placed && isolation_of(task) == isolation::none) {
+    this->state.runners.acquit(task.runner, {ref, task.run});
+  }
+  this->writer.write(ref.in.job);
+  this->request_plan();
 }
 
 void leader::judge_suspects() {
--- a/src/cell/testing/false_crash_test.cc
+++ b/src/cell/testing/false_crash_test.cc
@@ -142,6 +142,20 @@
   fake_runner& runner;
 };
 
+TEST_CASE("A cut that hides a runner from the store and from all daemons counts as no crash") {
+  play_outages(seeds, runner_count, [](outage_cell& f, std::uint32_t) {
+    constexpr millis cut{8'000};
+    pinned_task pinned(f);
+    for (int i = 0; i < pinned_task::times; ++i) {
+      f.hide(pinned.runner);
+      f.pass_with_load(cut);
+      f.reveal(pinned.runner);
+      f.pass_with_load(pinned_task::present);
+    }
+    check_lasting(f, 1);
+  });
+}
+
 TEST_CASE("A planned leave counts as no crash") {
   play_outages(seeds, runner_count, [](outage_cell& f, std::uint32_t) {
     pinned_task pinned(f);
--- a/src/decide/live_job.h
+++ b/src/decide/live_job.h
@@ -133,6 +133,9 @@
   // A run that was taken for lost was on a runner that has crashed, as is known now. `was_alone`:
   // nothing else was on that runner.
   end_effect crashed_after_all(const task_ref& task, std::int32_t run, bool was_alone);
+  // The runner of a run that counts as a crash turns out not to have crashed. Returns true if the
+  // count is lower now.
+  bool disprove_crash(const task_ref& task, std::int32_t run);
   // The task has run for longer than its crashes took to come, so it is not their cause: its run
   // is not kept from others any more. A lasting task's crashes are forgotten; for others they still
   // count, as the number of their starts is bounded.
--- a/src/decide/live_job_crashes.cc
+++ b/src/decide/live_job_crashes.cc
@@ -102,6 +102,30 @@
   return effect;
 }
 
+bool live_job::disprove_crash(const task_ref& task, std::int32_t run) {
+  live_task* const t = this->find(task);
+  if (t == nullptr || find_crashed(*t, run) == t->crashed_runs.end()) {
+    return false;
+  }
+  const auto uncount = [run](live_task& counted) {
+    const auto same = find_crashed(counted, run);
+    if (same == counted.crashed_runs.end() || --same->runners > 0) {
+      return;
+    }
+    counted.crashed_runs.erase(same);
+    --counted.crashes;
+  };
+  const std::int32_t before = t->crashes;
+  if (this->spec().steps[static_cast<std::size_t>(task.in.step)].gang) {
+    live_step& step =
+        this->open_occurrences.at(task.in.occurrence).steps[static_cast<std::size_t>(task.in.step)];
+    std::for_each(step.tasks.begin(), step.tasks.end(), uncount);
+  } else {
+    uncount(*t);
+  }
+  return t->crashes < before;
+}
+
 void live_job::acquit(const task_ref& task) {
   live_task& t = *this->find(task);
   t.acquitted = true;
--- a/src/decide/testing/gang_crash_takeover_test.cc
+++ b/src/decide/testing/gang_crash_takeover_test.cc
@@ -75,5 +75,17 @@
   CHECK(job.find(member(members - 1))->crashes == 2);
 }
 
+TEST_CASE("A crash that a previous leader counted remains when another member's is disproved") {
+  live_job job = make_gang();
+  for (std::int32_t i = 0; i < members; ++i) {
+    job.place(member(i), 1, "r" + std::to_string(i), 1, now);
+  }
+  job.finish(member(0), 1, run_outcome::crashed, {});
+  job = taken_over(job);
+  job.finish(member(1), 1, run_outcome::crashed, {});
+  job.disprove_crash(member(1), 1);
+  CHECK(job.find(member(0))->crashes == 1);
+}
+
 }  // namespace
 }  // namespace monsoonmux::cell
--- a/src/decide/testing/live_job_test.cc
+++ b/src/decide/testing/live_job_test.cc
@@ -294,6 +294,16 @@
   CHECK(isolation_of(*job.find(task(0))) == (lasts ? isolation::none : isolation::alone));
 }
 
+TEST_CASE("A crash that turns out to be none is taken back") {
+  live_job job = make_job(tasks(1));
+  crash(job, 2);
+  CHECK(job.disprove_crash(task(0), 1));
+  CHECK(job.find(task(0))->crashes == 1);
+  CHECK_FALSE(job.disprove_crash(task(0), 1));
+  CHECK(job.disprove_crash(task(0), 2));
+  CHECK(isolation_of(*job.find(task(0))) == isolation::none);
+}
+
 TEST_CASE(
     "A successor knows of a run that may have crashed its runner, until the task starts again") {
   live_job job = make_job(tasks(1));
@@ -313,6 +323,15 @@
   CHECK_FALSE(succeed(next).find(task(0))->suspected);
 }
 
+TEST_CASE("A crash of a gang remains while one of the runners counts as crashed") {
+  live_job job = make_job(tasks(3, true));
+  crash(job, 1, 2);
+  CHECK_FALSE(job.disprove_crash(task(0), 1));
+  CHECK(job.find(task(2))->crashes == 1);
+  CHECK(job.disprove_crash(task(1), 1));
+  CHECK(job.find(task(2))->crashes == 0);
+}
+
 TEST_CASE("Crashes of runners do not use up attempts") {
   live_job job = make_job(tasks(1), 1);
   crash(job, 3);
