A runner whose entry cannot be read has not left

An entry that cannot be read, of another writer for instance, was taken for no entry, so that a run that lapsed meanwhile counted as a crash of its runner (LOST). Such a runner takes no new work as before, but its absence proves nothing.

--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -166,7 +166,7 @@
 }
 
 void leader::runner_entry_unreadable(const std::string& id) {
-  this->state.runners.mark_unlisted(id, this->services.time.now());
+  this->state.runners.mark_unreadable(id);
 }
 
 void leader::runner_admitted(const std::string& id) {
--- a/src/cell/leader_crashes.cc
+++ b/src/cell/leader_crashes.cc
@@ -76,7 +76,7 @@
 
 runner_absence leader::absence_of(const std::string& runner) {
   const runner_state* const known = this->state.runners.find(runner);
-  if (known != nullptr && known->listed) {
+  if (known != nullptr && (known->listed || known->unreadable)) {
     return {};
   }
   const followed_time followed = this->on.runners_followed();
--- a/src/cell/testing/uncaused_crash_test.cc
+++ b/src/cell/testing/uncaused_crash_test.cc
@@ -138,6 +138,38 @@
   });
 }
 
+TEST_CASE("A run that lapses while its runner's entry is unreadable is no crash") {
+  for_all_seeds([](crash_fixture& f) {
+    f.submit(lasting_job(1));
+    fake_runner* const cut = f.busy_runner();
+    REQUIRE(cut != nullptr);
+    f.cell.store.put("runners", cut->entry.id, fake_sources::unreadable);
+    f.let_lapse(*cut);
+    f.cell.store.put("runners", cut->entry.id, "1");
+    constexpr millis rest{3'000};
+    f.cell.loop.run_for(rest);
+    CHECK(f.crashes_counted() == 0);
+  });
+}
+
+TEST_CASE("A run that lapsed is no crash if a successor cannot read its runner's entry") {
+  for_all_seeds([](crash_fixture& f) {
+    f.submit(lasting_job(1));
+    fake_runner* const cut = f.busy_runner();
+    REQUIRE(cut != nullptr);
+    f.cut_off(*cut);
+    // The task starts nowhere else before the takeover, so its record still has the suspicion.
+    for (auto& runner : f.cell.runners) {
+      f.cell.store.put("runners", runner->entry.id, fake_sources::unreadable);
+    }
+    f.cell.loop.run_for(lapse_time);
+    f.leader().kill();
+    constexpr millis takeover_and_more{15'000};
+    f.cell.loop.run_for(takeover_and_more);
+    CHECK(f.crashes_counted() == 0);
+  });
+}
+
 TEST_CASE("A run that lapsed is no crash because an entry does not name its runner's incarnation") {
   for_all_seeds([](crash_fixture& f) {
     f.submit(lasting_job(1));
--- a/src/decide/runner_table.cc
+++ b/src/decide/runner_table.cc
@@ -19,18 +19,26 @@
   }
   state.entry = entry;
   state.listed = true;
+  state.unreadable = false;
   return state;
 }
 
 void runner_table::mark_unlisted(const std::string& id, instant now) {
   runner_state* const state = this->find(id);
-  if (state == nullptr || !state->listed) {
+  if (state == nullptr || (!state->listed && !state->unreadable)) {
     return;
   }
   state->listed = false;
+  state->unreadable = false;
   state->unlisted_since = now;
 }
 
+void runner_table::mark_unreadable(const std::string& id) {
+  runner_state& state = this->by_id[id];
+  state.listed = false;
+  state.unreadable = true;
+}
+
 void runner_table::mark_drained(const std::string& id, std::int64_t incarnation) {
   if (runner_state* state = this->find(id)) {
     state->drained_incarnation = incarnation;
--- a/src/decide/runner_table.h
+++ b/src/decide/runner_table.h
@@ -49,8 +49,9 @@
 // The leader's record of one runner.
 struct runner_state {
   runner_entry entry;
-  bool listed = false;  // Its entry is in the discovery list.
-  // When the removal of its entry was seen, if it is not listed.
+  bool listed = false;      // A readable entry of it is in the discovery list.
+  bool unreadable = false;  // Its entry there cannot be read.
+  // When the removal of its entry was seen, if it is neither listed nor unreadable.
   instant unlisted_since{0};
   bool admitted = false;  // It answered under our fencing token; its capacity is known.
   // The latest incarnation before the present one that was draining when it was last listed.
@@ -105,6 +106,8 @@
   // Makes the runner known, although no entry of it has been read yet.
   void expect(const std::string& id) { this->by_id.try_emplace(id); }
   void mark_unlisted(const std::string& id, instant now);
+  // It takes no new work, but nothing tells that it has left.
+  void mark_unreadable(const std::string& id);
   // The incarnation was draining when it was last listed.
   void mark_drained(const std::string& id, std::int64_t incarnation);
   runner_state* find(const std::string& id);
