Only what was seen of a run says how long its runner took to crash

A task that runs for longer than its crashes took to come is acquitted. The time was measured to the moment when the crash was found, from the placement of the next run if it was found late, and from the takeover for an inherited run. So a task that crashes its runners late counted as one that does so soon, was acquitted too early and went on crashing runners beside other work. Now the time comes from the run that crashed, and an inherited run says nothing.

--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -188,7 +188,7 @@
   millis list_followed_for() const;
   // The present run of the task as one under which its runner may have crashed.
   suspected_run suspect_of(const run_key& run, const live_task& task) const;
-  // Logs the crash and whether the task is given up for it.
+  // Notes how long the run had lasted, and logs the crash and whether the task is given up for it.
   void crash_counted(const std::string& runner, const suspected_run& crashed, live_task& task,
                      const end_effect& effect);
   // Ends the isolation of tasks that have run for longer than their crashes took to come.
--- a/src/cell/leader_crashes.cc
+++ b/src/cell/leader_crashes.cc
@@ -48,6 +48,8 @@
   out.run = run;
   out.incarnation = task.runner_incarnation;
   out.lost_at = this->services.time.now();
+  // An inherited run may have begun long before.
+  out.ran_for = task.inherited ? millis{0} : out.lost_at - task.placed_at;
   out.was_alone = task.alone;
   return out;
 }
@@ -139,6 +141,7 @@
 
 void leader::crash_counted(const std::string& runner, const suspected_run& crashed, live_task& task,
                            const end_effect& effect) {
+  task.time_to_crash = std::max(task.time_to_crash, crashed.ran_for);
   const runner_state* const known = this->state.runners.find(runner);
   const nlohmann::ordered_json fields{
       {"task", crashed.run.task.text()},
--- a/src/cell/leader_run_ends.cc
+++ b/src/cell/leader_run_ends.cc
@@ -97,7 +97,6 @@
     this->report_failed(job, run.task);
   }
   if (how == run_outcome::crashed) {
-    task->time_to_crash = std::max(task->time_to_crash, this->services.time.now() - placed_at);
     this->crash_counted(runner, this->suspect_of(run, *task), *task, effect);
   }
   for (const superseded_run& later : effect.superseded) {
--- a/src/decide/crash_suspects.h
+++ b/src/decide/crash_suspects.h
@@ -17,6 +17,7 @@
   run_key run;
   std::int64_t incarnation = 0;  // Of the runner, when the run was placed; 0: unknown.
   instant lost_at;
+  millis ran_for{0};       // From its placement until it was lost; 0: that is unknown.
   bool was_alone = false;  // Nothing else was on the runner.
   bool counted = false;    // As a crash, since the runner stayed away from the discovery list.
   // It would be the last crash that the task may have, so the task must not start until it is known
