A lapse looks through the suspicions only for a task that has had many starts

When thousands of leases lapse at once, as after a loss of power everywhere, each lapse was compared with all suspicions so far, to know whether it is the last crash that its task may have. Each crash takes a start, so a task with fewer starts than the bound needs no comparison: nearly all of them.

--- a/src/cell/leader_crashes.cc
+++ b/src/cell/leader_crashes.cc
@@ -58,7 +58,9 @@
 bool leader::record_lapse(const std::string& runner, const run_key& run, const live_task& task) {
   suspected_run suspect = this->suspect_of(run, task);
   const bool last_start = isolation_after(task.crashes) == isolation::alone;
+  // Each crash takes a start, so most tasks need no search through all suspicions.
   const bool ends_job =
+      ends_by_crashes(run.run, last_start) &&
       ends_by_crashes(task.crashes + this->suspects.uncounted(run.task) + 1, last_start);
   suspect.counted = this->suspects.absence_counts(this->absence_of(runner), ends_job);
   suspect.held = ends_job && !suspect.counted;
