A restarted runner's first report closes the runs that cannot begin there any more

Odd entries of another writer could abandon each poll in turn, so that no lease was renewed.

Cause: what only runs with a start under way need was asked of all. Now the first report closes the others, as before; a run of which a start got no answer waits for the report under the next token, and so does the admission of the runner. No poll is abandoned, none is sent before its time, and the expiry is not extended a second time.

--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -62,8 +62,6 @@
   }
   if (restarted && next.incarnation != this->incarnation) {
     this->suspect_restart();
-    this->next_poll = this->time.now();
-    this->awaited_poll = 0;  // It may wait at the previous incarnation.
   }
   this->poll();
 }
@@ -139,7 +137,7 @@
 void runner_session::poll(bool acknowledge) {
   const bool poll_needed =
       !this->runs.empty() || !this->announced || this->last_end_seen > this->stored_up_to;
-  if (this->awaited_poll != 0 || !poll_needed || !this->reachable()) {
+  if (this->poll_in_flight || !poll_needed || !this->reachable()) {
     return;
   }
   const instant now = this->time.now();
@@ -165,11 +163,10 @@
   } else if (may_extend) {
     this->next_poll = now + this->options.retry;
   }
-  this->awaited_poll = ++this->polls_sent;
-  this->port.poll(request, [this, request, now, number = this->awaited_poll,
-                            a = this->alive](const poll_answer& answer) {
-    if (*a && number == this->awaited_poll) {
-      this->awaited_poll = 0;
+  this->poll_in_flight = true;
+  this->port.poll(request, [this, request, now, a = this->alive](const poll_answer& answer) {
+    if (*a) {
+      this->poll_in_flight = false;
       this->poll_answered(answer, request, now);
     }
   });
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -131,6 +131,7 @@
   void note_restart(const poll_report& report, const poll_request& request, instant sent);
   // True if the runner has restarted, as far as known, since a command with this token was sent.
   bool is_superseded(fencing_token sent_with) const { return sent_with < this->tokens.current(); }
+  void log_superseded(std::string_view command, const run_key& run);
   // The number of runs of which a start may still be executed.
   std::int64_t starts_without_answer() const;
   void announce(std::int64_t reported);
@@ -140,7 +141,8 @@
   // the present incarnation.
   bool crashed_under(const tracked_run& tracked) const;
   static bool lists(const poll_report& report, const run_key& run);
-  void close_missing(const poll_report& report, instant sent);
+  // `fences`: the report refuses all starts that were sent before it.
+  void close_missing(const poll_report& report, instant sent, bool fences);
   void log_closed(const run_key& run, const tracked_run& tracked, std::string_view why);
   // True if the incarnation that answered last ran a moment ago, so that a lease that is
   // reckoned by its clock cannot reach another one.
@@ -194,8 +196,7 @@
   // nor acknowledge ends.
   bool incarnation_uncertain = false;
   std::int64_t incarnation = 0;
-  runner_tokens tokens;        // A new one for each incarnation that is met.
-  bool restart_noted = false;  // Until the incarnation has answered under the newest token.
+  runner_tokens tokens;  // A new one for each incarnation that is met.
   runner_clock runner_time;
   instant leases_expire_at;
   std::int64_t last_end_seen = 0;
@@ -205,8 +206,7 @@
   // Ends up to this number were acknowledged by a poll that this incarnation answered.
   std::int64_t acknowledged_up_to = 0;
   std::set<std::int64_t> unstored_ends;  // Reported ends that are not in the log yet.
-  std::int64_t polls_sent = 0;
-  std::int64_t awaited_poll = 0;  // Number of the poll whose answer is awaited; 0: none.
+  bool poll_in_flight = false;
   instant next_poll{0};
   instant last_renewal;  // When the last poll that renewed the lease was sent.
   bool proof_in_flight = false;
--- a/src/cell/runner_session_commands.cc
+++ b/src/cell/runner_session_commands.cc
@@ -72,6 +72,7 @@
         this->leader.token_refused(this->id);
         return;
       }
+      this->log_superseded("start", run);
       break;
     case command_status::unknown:
       ++tracked.unanswered_starts;
@@ -91,6 +92,15 @@
   }
 }
 
+// Our own later token has refused the command, so it would have reached another incarnation.
+void runner_session::log_superseded(std::string_view command, const run_key& run) {
+  this->events.write("command_superseded", {{"runner", this->id},
+                                            {"command", command},
+                                            {"task", run.task.text()},
+                                            {"run", run.run},
+                                            {"incarnation", this->incarnation}});
+}
+
 void runner_session::retry_start(const run_key& run, tracked_run& tracked, std::string_view why) {
   if (tracked.attempts < this->options.max_start_attempts) {
     tracked.next_try = this->time.now() + this->options.retry;
@@ -151,6 +161,9 @@
       this->leader.token_refused(this->id);
       return;
     }
+    if (answer.status == command_status::fenced) {
+      this->log_superseded("stop", run);
+    }
     it->second.next_try = this->time.now() + this->options.retry;
   });
 }
--- a/src/cell/runner_session_reports.cc
+++ b/src/cell/runner_session_reports.cc
@@ -2,7 +2,6 @@
 // are missing.
 
 #include <algorithm>
-#include <utility>
 #include <vector>
 
 #include "cell/runner_session.h"
@@ -25,16 +24,14 @@
   }
   this->process_ends(report);
   this->process_running(report);
-  if (this->is_superseded(request.target.token)) {
+  const bool fences = !this->is_superseded(request.target.token);
+  this->close_missing(report, sent, fences);
+  if (!fences) {
     this->next_poll = this->time.now();
-    return;  // A start that is under way may still begin a run there.
-  }
-  if (std::exchange(this->restart_noted, false)) {
-    this->extend_expiry(this->options.runner_max_lease, this->time.now());
+    return;
   }
   this->admitted = true;
   this->incarnation_uncertain = false;
-  this->close_missing(report, sent);
   this->announce(report.incarnation);
 }
 
@@ -54,8 +51,9 @@
 }
 
 // All runs of the previous incarnation are over, but commands that were sent to it may still reach
-// the new one, until that has seen a higher token. Of the runs, those that its first report under
-// that token lists are kept, and close_missing() closes the others.
+// the new one, until that has seen a higher token. Runs that its reports list are kept;
+// close_missing() closes the others, those of which a start may still be executed by the first
+// report under that token.
 void runner_session::note_restart(const poll_report& report, const poll_request& request,
                                   instant sent) {
   this->events.write("runner_reborn", {{"runner", this->id},
@@ -65,7 +63,6 @@
                                        {"poll_ms", (this->time.now() - sent).value},
                                        {"starts_under_way", this->starts_without_answer()}});
   this->tokens.raise();
-  this->restart_noted = true;
   this->last_end_seen = 0;
   this->stored_up_to = 0;
   this->acknowledged_up_to = 0;
@@ -138,11 +135,12 @@
                      });
 }
 
-void runner_session::close_missing(const poll_report& report, instant sent) {
+void runner_session::close_missing(const poll_report& report, instant sent, bool fences) {
   std::vector<run_key> missing;
   for (const auto& [run, tracked] : this->runs) {
     const bool answered_before = tracked.answered_at != instant{0} && tracked.answered_at < sent;
-    if (!tracked.recovered && !answered_before) {
+    const bool may_begin = !fences && tracked.unanswered_starts > 0;
+    if (may_begin || (!tracked.recovered && !answered_before)) {
       continue;
     }
     if (!lists(report, run)) {
