A stop that one incarnation answered counts for no run of the next

Sequence: a start gets no answer, its run is stopped, the runner answers the stop and restarts; the next incarnation executes the start. The session took the run for stopped, so it sent no stop again and renewed the run's lease.

Now a restart takes it back and the stop is repeated, also if the answer comes after the restart is known. The test fails before in both ways (1 stop instead of 2).

--- a/src/cell/runner_session_commands.cc
+++ b/src/cell/runner_session_commands.cc
@@ -151,7 +151,9 @@
       return;
     }
     it->second.stop_in_flight = false;
-    if (answer.status == command_status::done || answer.status == command_status::stale_run) {
+    const bool executed =
+        answer.status == command_status::done || answer.status == command_status::stale_run;
+    if (executed && !this->is_superseded(token)) {
       it->second.stop_answered = true;
       it->second.answered_at = this->time.now();
       this->poll();
--- a/src/cell/runner_session_reports.cc
+++ b/src/cell/runner_session_reports.cc
@@ -63,6 +63,12 @@
                                        {"poll_ms", (this->time.now() - sent).value},
                                        {"starts_under_way", this->starts_without_answer()}});
   this->tokens.raise();
+  for (auto& [run, tracked] : this->runs) {
+    if (tracked.stopping) {
+      tracked.stop_answered = false;
+      tracked.next_try = this->time.now();
+    }
+  }
   this->last_end_seen = 0;
   this->stored_up_to = 0;
   this->acknowledged_up_to = 0;
--- a/src/cell/testing/restart_fence_test.cc
+++ b/src/cell/testing/restart_fence_test.cc
@@ -72,6 +72,37 @@
   CHECK(f.leader.refused_tokens == 1);
 }
 
+TEST_CASE("A run that was stopped at one incarnation and begins at the next is stopped there") {
+  session_fixture f;
+  const run_key run{*parse_task_ref("job.0.0.1"), 1};
+  const auto answer_stop = [&f] {
+    const auto answer = std::exchange(f.commands.stop_answers, {}).back();
+    answer({command_status::done, f.clock()});
+  };
+  const bool answered_late = GENERATE(false, true);
+  f.report({});
+  f.start("job.0.0.1");
+  f.commands.start_answers.back()({command_status::unknown, {}});
+  f.session.stop(run);
+  REQUIRE(f.commands.stops.size() == 1);
+  if (!answered_late) {
+    answer_stop();
+  }
+  f.loop.run_for(millis{10});
+  f.restart_runner();
+  poll_report begun = f.idle_state();
+  begun.running = {{"job.0.0.1", 1, "", 100}};
+  f.commands.report(begun);
+  if (answered_late) {
+    answer_stop();
+  }
+  f.commands.report(begun);
+  f.loop.run_for(f.options.retry);
+  f.session.tick();
+  REQUIRE(f.commands.stops.size() == 2);
+  CHECK(f.commands.stops.back().target.token > f.commands.stops.front().target.token);
+}
+
 TEST_CASE("The next leader's first token is higher than all of its predecessor") {
   runner_tokens tokens{epoch{7}};
   for (std::int64_t i = 0; i < 2 * runner_tokens::per_epoch; ++i) {
--- a/src/cell/testing/session_fixture.h
+++ b/src/cell/testing/session_fixture.h
@@ -21,8 +21,9 @@
     this->starts.push_back(command);
     this->start_answers.push_back(std::move(on_answer));
   }
-  void stop(const stop_command& command, std::function<void(command_answer)>) override {
+  void stop(const stop_command& command, std::function<void(command_answer)> on_answer) override {
     this->stops.push_back(command);
+    this->stop_answers.push_back(std::move(on_answer));
   }
   void poll(const poll_request& request, std::function<void(poll_answer)> on_answer) override {
     this->polls.push_back(request);
@@ -38,6 +39,7 @@
   std::vector<start_command> starts;
   std::vector<stop_command> stops;
   std::vector<std::function<void(command_answer)>> start_answers;
+  std::vector<std::function<void(command_answer)>> stop_answers;
 };
 
 class recorded_events final : public session_events {
