The clock in an answer to a superseded command is not read as the present incarnation's

Cause: runner_clock tells incarnations apart by their clocks, and a clock that is far ahead proves that the reading is not of a later one, but not that it is of the present one. The token that the command carried tells: an answer to a superseded one only extends the expiry. The test fails before (a lease until 106,000 at a clock of 0).

--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -114,10 +114,14 @@
   }
 }
 
-void runner_session::update_clock(const command_answer& answer, instant sent) {
+void runner_session::update_clock(const command_answer& answer, fencing_token token, instant sent) {
   if (!answer.clock_ms) {
     return;
   }
+  if (this->is_superseded(token)) {
+    this->extend_expiry(this->options.runner_max_lease, this->time.now());
+    return;  // It may be of a previous incarnation, whose clock shows another time.
+  }
   const clock_reading reading{*answer.clock_ms, sent, this->time.now()};
   const same_incarnation same = this->runner_time.compare(reading);
   if (same == same_incarnation::no && this->admitted) {
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -165,7 +165,7 @@
   // True if the runs are given up when the leases have ended, unless the runner answers before.
   bool may_expire() const;
   void close_expired();
-  void update_clock(const command_answer& answer, instant sent);
+  void update_clock(const command_answer& answer, fencing_token token, instant sent);
   // A command of ours was executed now or before, and may have extended leases by this.
   void extend_expiry(millis lease, instant now);
   // The longest lease, on the runner's clock, that may be granted now; empty if none may.
--- a/src/cell/runner_session_commands.cc
+++ b/src/cell/runner_session_commands.cc
@@ -55,7 +55,7 @@
 
 void runner_session::start_answered(const run_key& run, const command_answer& answer,
                                     fencing_token token, instant sent) {
-  this->update_clock(answer, sent);
+  this->update_clock(answer, token, sent);
   const auto it = this->runs.find(run);
   if (it == this->runs.end()) {
     return;
@@ -145,7 +145,7 @@
     if (!*a) {
       return;
     }
-    this->update_clock(answer, sent);
+    this->update_clock(answer, token, sent);
     const auto it = this->runs.find(run);
     if (it == this->runs.end()) {
       return;
--- a/src/cell/testing/restart_fence_test.cc
+++ b/src/cell/testing/restart_fence_test.cc
@@ -103,6 +103,24 @@
   CHECK(f.commands.stops.back().target.token > f.commands.stops.front().target.token);
 }
 
+TEST_CASE("The clock in an answer of one incarnation grants no lease at the next") {
+  session_fixture f;
+  f.report({});
+  f.start("job.0.0.1");
+  const std::int64_t former_clock = f.clock();
+  const auto late_answer = f.commands.start_answers.back();
+  f.loop.run_for(millis{100});
+  f.restart_runner();
+  f.list(next_incarnation, 0);
+  f.commands.report(f.idle_state());
+  f.commands.report(f.idle_state());
+  REQUIRE(f.leader.admitted);
+  late_answer({command_status::done, former_clock});
+  f.start("job.0.0.2");
+  REQUIRE(f.commands.starts.size() == 2);
+  CHECK(f.commands.starts.back().lease_until_ms <= f.clock() + f.options.max_lease.value);
+}
+
 TEST_CASE("The next leader's first token is higher than all of its predecessor") {
   runner_tokens tokens{epoch{7}};
   for (std::int64_t i = 0; i < 2 * runner_tokens::per_epoch; ++i) {
