A run that the next incarnation lists was placed on that one

Callers could see a job shown as failed without cause (LOST): a start reached the next incarnation, which lists the run; the run kept the previous incarnation as the one it was placed on, so when its runner was only cut off, the lapse counted as a crash at once, without the suspicion that others get. It also counted as running since the previous incarnation's answer.

Now the report that lists the run names its incarnation and the time. The test fails before (lost by "runner_crashed"). Open: the leader's own record of the task still names the previous incarnation, until the task starts again.

--- a/src/cell/runner_session_reports.cc
+++ b/src/cell/runner_session_reports.cc
@@ -115,8 +115,9 @@
       continue;
     }
     it->second.recovered = false;
-    if (it->second.answered_at == instant{0}) {
+    if (it->second.answered_at == instant{0} || it->second.placed_on != report.incarnation) {
       it->second.answered_at = this->time.now();
+      it->second.placed_on = report.incarnation;
     }
     if (!running.checkpoint.empty()) {
       this->leader.checkpoint_reported(this->id, run, running.checkpoint);
--- a/src/cell/testing/restart_fence_test.cc
+++ b/src/cell/testing/restart_fence_test.cc
@@ -121,6 +121,20 @@
   CHECK(f.commands.starts.back().lease_until_ms <= f.clock() + f.options.max_lease.value);
 }
 
+TEST_CASE("A run that began at the next incarnation is not lost by the crash of the one before") {
+  session_fixture f;
+  f.report({});
+  f.loop.run_for(millis{10});
+  f.restart_runner();
+  f.list(next_incarnation, 0);
+  f.report({});
+  f.report({});
+  REQUIRE(f.leader.admitted);
+  CHECK(f.session.known_to_run({*parse_task_ref(long_task), 1}) == millis{0});
+  f.silence(millis{20'000});
+  CHECK(f.leader.lost == std::vector<std::string>{"lease_lapsed"});
+}
+
 TEST_CASE("The next leader's first token is higher than all of its predecessor") {
   runner_tokens tokens{epoch{7}};
   for (std::int64_t i = 0; i < 2 * runner_tokens::per_epoch; ++i) {
