The rig's runners check tickets, and random cells play queues with advice

On all given deployments every queue has advice, so a start needs a ticket for its step, of this life of the runner and not older than the queue says. The rig's runners took any start, and its random cells had no advice: what late starts do there could not be seen.

fake_advice issues tickets at the end of a call, for the lives that the runners have then, also if the caller is frozen meanwhile; fake_runner refuses others.

--- a/src/cell/testing/fake_cell.h
+++ b/src/cell/testing/fake_cell.h
@@ -102,7 +102,7 @@
           uplink(cell.loop),
           log(cell.store, this->process, this->uplink, this->name),
           commands(cell.loop, this->process, this->name, cell.runners, seed * 31 + index),
-          advice(this->process, cell.advice_terms),
+          advice(cell.loop, this->process, cell.advice, cell.runners),
           peers(cell, this->uplink, this->name),
           host{this->process, this->agent},
           domain(cell.domain_of(index)),
@@ -215,9 +215,17 @@
 
   // Makes the open queue need advice. Call before the daemons have read the configuration.
   void add_advice(const advice_config& terms) {
-    this->advice_terms = terms;
+    this->advice.terms = terms;
     this->config.queues.front().advice = terms;
   }
+  // The same for all queues. Each step may run on all runners but one.
+  void add_advice_to_all_queues(const advice_config& terms) {
+    this->advice.terms = terms;
+    this->advice.excludes_one = true;
+    for (queue_config& queue : this->config.queues) {
+      queue.advice = terms;
+    }
+  }
 
   // Submits a job of the limited team.
   void submit_limited(int daemon, const std::string& id, const job_spec& spec) {
@@ -236,7 +244,8 @@
       return;
     }
     constexpr millis deadline{1'000};
-    this->history.jobs[id] = {spec, from.value().queue->pool};
+    const queue_config& queue = *from.value().queue;
+    this->history.jobs[id] = {spec, queue.pool, queue.advice};
     at.daemon->handler().submit(from.value(), job_id(id), spec, this->loop.now() + deadline,
                                 [this, id](const result<void>& answer) {
                                   if (answer.has_value()) {
@@ -328,7 +337,7 @@
   run_history history;
   std::mt19937 random;
   cell_config config;
-  std::optional<advice_config> advice_terms;  // Of the advice service; empty: there is none.
+  fake_advice_service advice;
   std::vector<std::unique_ptr<fake_runner>> runners;
   std::vector<std::unique_ptr<node>> nodes;
   double lost_datagrams = 0;
--- a/src/cell/testing/fake_runner_port.h
+++ b/src/cell/testing/fake_runner_port.h
@@ -34,7 +34,7 @@
         request.target, timeout, std::move(on_answer), poll_answer{},
         poll_answer{command_status::not_sent, {}},
         [this, request](fake_runner& r, const auto& answer) {
-          if (this->is_late(r)) {
+          if (this->is_late(r) || this->chance(r.late_polls)) {
             this->execute_later(r, request.target,
                                 [request](fake_runner& by) { by.poll(request); });
             return;
@@ -74,14 +74,16 @@
                                });
   }
 
-  bool is_late(const fake_runner& runner) {
-    return runner.late_commands > 0 &&
-           std::uniform_real_distribution<double>(0, 1)(this->random) < runner.late_commands;
+  bool is_late(const fake_runner& runner) { return this->chance(runner.late_commands); }
+  bool chance(double rate) {
+    return rate > 0 && std::uniform_real_distribution<double>(0, 1)(this->random) < rate;
   }
   // The command waits on its way, and reaches whatever incarnation is there by then.
   template <class Command>
   void execute_later(fake_runner& runner, const command_target& target, Command execute) {
-    const millis delay{2'000 + static_cast<std::int64_t>(this->random() % 10'000)};
+    const auto span = static_cast<std::uint32_t>(runner.delay_span.value);
+    const millis delay =
+        runner.shortest_delay + millis{static_cast<std::int64_t>(this->random() % span)};
     this->loop.after(delay, [&runner, execute, instance = target.instance] {
       if (runner.up && runner.entry.id == instance) {
         execute(runner);
--- a/src/cell/testing/fake_runners.h
+++ b/src/cell/testing/fake_runners.h
@@ -12,6 +12,7 @@
 #include "async/event_log.h"
 #include "cell/runner_port.h"
 #include "cell/testing/fake_loop.h"
+#include "cell/testing/fake_ticket.h"
 #include "cell/testing/run_history.h"
 #include "decide/task_ref.h"
 #include "model/runner_entry.h"
@@ -19,7 +20,7 @@
 namespace monsoonmux::cell {
 
 // A runner that behaves as the platform specifies: it keeps leases on its own clock, checks
-// fencing tokens, lists numbered ends until they are acknowledged, and may execute
+// fencing tokens and tickets, lists numbered ends until they are acknowledged, and may execute
 // commands late.
 class fake_runner {
  public:
@@ -44,6 +45,9 @@
   double lost_answers = 0;            // Fraction of calls executed at once, unanswered.
   millis slow_link{0};                // Calls and answers take up to so much longer.
   double late_commands = 0;           // Fraction of commands executed seconds later, unanswered.
+  double late_polls = 0;              // The same of polls alone.
+  millis shortest_delay{2'000};       // Of late commands and polls.
+  millis delay_span{10'000};          // From the shortest to the longest delay.
   double clock_rate = 1.0;            // 0.98: 2% slow.
   millis task_time{800};
   // The same for members of a gang, which end together wherever they run.
@@ -80,6 +84,10 @@
       out.status = command_status::lease_expired;
       return out;
     }
+    if (!this->accept_ticket(command)) {
+      out.status = command_status::no_ticket;
+      return out;
+    }
     const auto closed = this->closed.find(command.task);
     const auto running = this->runs.find(command.task);
     if (running != this->runs.end() && running->second.run == command.run) {
@@ -218,6 +226,19 @@
     return true;
   }
 
+  // A queue with advice needs a ticket for the step, issued in this life and not long ago.
+  bool accept_ticket(const start_command& command) const {
+    const auto task = parse_task_ref(command.task);
+    const advice_config* const terms = task ? this->history.advice_for(*task) : nullptr;
+    if (terms == nullptr) {
+      return true;
+    }
+    const auto given = fake_ticket::parse(command.ticket);
+    return given && given->step == task->in.text() && given->runner == this->entry.id &&
+           given->incarnation == this->entry.incarnation &&
+           this->loop.now() - given->issued <= terms->ticket_lifetime;
+  }
+
   void extend(std::int64_t lease_until_ms) {
     this->until =
         std::max(this->until, std::min(lease_until_ms, this->clock() + this->max_lease.value));
--- a/src/cell/testing/fault_rig_test.cc
+++ b/src/cell/testing/fault_rig_test.cc
@@ -62,6 +62,42 @@
   CHECK(status == command_status::unknown);
 }
 
+// The answer to a start of a task of a queue with advice that carries this ticket.
+command_status start_with(fake_runner& runner, const fake_ticket& ticket) {
+  start_command command;
+  command.target = {runner.entry.address, runner.entry.id, fencing_token{9}};
+  command.task = "j.0.0.0";
+  command.run = 1;
+  command.lease_until_ms = runner.clock() + 6'000;
+  command.ticket = ticket.text();
+  return runner.start(command).status;
+}
+
+TEST_CASE("A runner refuses a ticket of another step or life or that has expired") {
+  constexpr millis lifetime{1'500};
+  fake_cell cell(1, 2, 1);
+  cell.history.jobs["j"] = {fake_cell::simple_job(1), pool_id("s"), advice_config{1, 1, lifetime}};
+  cell.loop.run_for(millis{10});
+  fake_runner& runner = *cell.runners[0];
+  const fake_ticket valid{"j.0.0", "i-0", runner.entry.incarnation, cell.loop.now()};
+  fake_ticket other = valid;
+  SECTION("step") {
+    other.step = "j.0.1";
+  }
+  SECTION("runner") {
+    other.runner = "i-1";
+  }
+  SECTION("earlier life") {
+    --other.incarnation;
+  }
+  SECTION("expired") {
+    other.issued = cell.loop.now() - lifetime - millis{1};
+  }
+  CHECK(start_with(runner, other) == command_status::no_ticket);
+  CHECK(start_with(runner, valid) == command_status::done);
+  CHECK(cell.history.starts == 1);
+}
+
 TEST_CASE("The members of a failure domain that is cut off reach each other and nobody else") {
   fake_cell cell(5, 4, 1, {}, 3);
   cell.loop.run_for(boot_time);
--- a/src/cell/testing/random_fault_test.cc
+++ b/src/cell/testing/random_fault_test.cc
@@ -93,15 +93,57 @@
   }
 }
 
-// Injects random faults for 15 seconds and then ends them all. Checks that all accepted
-// jobs are over, that no task ran twice at a time or again after its end was acknowledged,
-// and that no refused job exists. `with_agents`: all commands of the leader go through
-// agents on other daemons.
-void random_fault_run(std::uint32_t seed, bool with_agents) {
-  INFO("seed " << seed << (with_agents ? ", through agents" : ""));
-  fake_cell cell(3, runner_count, seed, with_agents ? through_agents() : daemon_options{});
+// Gives all queues advice. Every other seed delays late commands so little that the tickets of some
+// are valid when they are executed.
+void require_tickets(fake_cell& cell, std::uint32_t seed) {
+  constexpr double per_call_ms = 40;
+  constexpr double per_runner_ms = 4;
+  const millis ticket_lifetime{seed % 4 < 2 ? 1'500 : 2'000};
+  cell.add_advice_to_all_queues({per_call_ms, per_runner_ms, ticket_lifetime});
+  for (auto& runner : cell.runners) {
+    if (seed % 2 == 0) {
+      runner->shortest_delay = millis{300};
+      runner->delay_span = millis{3'000};
+    }
+  }
+}
+
+bool all_over(fake_cell& cell) {
+  return std::all_of(cell.accepted.begin(), cell.accepted.end(), [&cell](const std::string& id) {
+    const auto phase = cell.phase(id);
+    return phase == job_phase::completed || phase == job_phase::failed;
+  });
+}
+
+void settle(fake_cell& cell) {
+  constexpr millis settle_step{10'000};
+  for (int i = 0; i < 12 && (i == 0 || !all_over(cell)); ++i) {
+    cell.loop.run_for(settle_step);
+  }
+}
+
+// Checks that all accepted jobs are over, that no task ran twice at a time or again after its end
+// was acknowledged, and that no refused job exists.
+void check_outcome(fake_cell& cell) {
+  check_history(cell);
+  check_crash_counts(cell);
+  check_crash_counts_at_last(cell);
+  check_jobs(cell);
+}
+
+// Changes a cell before its daemons have read the configuration.
+using variation = std::function<void(fake_cell&)>;
+
+// Injects random faults for 15 seconds and then ends them all. `with_agents`: all commands of the
+// leader go through agents on other daemons.
+std::unique_ptr<fake_cell> random_faults(std::uint32_t seed, bool with_agents,
+                                         const variation& vary) {
+  auto out = std::make_unique<fake_cell>(3, runner_count, seed,
+                                         with_agents ? through_agents() : daemon_options{});
+  fake_cell& cell = *out;
   cell.add_limited_team();
   vary_runners(cell, seed);
+  vary(cell);
   cell.loop.run_for(boot_time);
   auto& random = cell.random;
   cell.history.limits[limited_prefix] = tasks_in_limit;
@@ -195,10 +237,11 @@
     }
   }
   cell.loop.run_for(millis{60'000});
-  check_history(cell);
-  check_crash_counts(cell);
-  check_crash_counts_at_last(cell);
-  check_jobs(cell);
+  return out;
+}
+void random_fault_run(std::uint32_t seed, bool with_agents) {
+  INFO("seed " << seed << (with_agents ? ", through agents" : ""));
+  check_outcome(*random_faults(seed, with_agents, [](fake_cell&) {}));
 }
 
 // A runner starts again under its id while nobody leads, or the leader is frozen, and executes a
@@ -206,13 +249,6 @@
 const std::vector<seeded_play> starts_without_leader{
     {15, false}, {77, false}, {236, false}, {376, true}};
 
-bool all_over(fake_cell& cell) {
-  return std::all_of(cell.accepted.begin(), cell.accepted.end(), [&cell](const std::string& id) {
-    const auto phase = cell.phase(id);
-    return phase == job_phase::completed || phase == job_phase::failed;
-  });
-}
-
 // Some runners take much longer than a lease for each task, and some for a task now and then.
 void set_run_times(fake_cell& cell) {
   for (auto& runner : cell.runners) {
@@ -226,7 +262,7 @@
 
 // The same checks under faults that outlast a leader's command window, a runner's lease and
 // what follows, in three failure domains.
-void long_fault_run(std::uint32_t seed, bool with_agents) {
+void long_fault_play(std::uint32_t seed, bool with_agents, const variation& vary) {
   INFO("long faults, seed " << seed << (with_agents ? ", through agents" : ""));
   constexpr int daemons = 5;
   constexpr int runners = 8;
@@ -235,6 +271,7 @@
                  domains);
   cell.add_limited_team();
   vary_runners(cell, seed);
+  vary(cell);
   cell.loop.run_for(boot_time);
   cell.history.limits[limited_prefix] = tasks_in_limit;
   cell.history.gangs[gang_prefix] = gang_size;
@@ -260,14 +297,11 @@
     runner->long_rate = 0;
     runner->task_time = millis{800};
   }
-  constexpr millis settle_step{10'000};
-  for (int i = 0; i < 12 && (i == 0 || !all_over(cell)); ++i) {
-    cell.loop.run_for(settle_step);
-  }
-  check_history(cell);
-  check_crash_counts(cell);
-  check_crash_counts_at_last(cell);
-  check_jobs(cell);
+  settle(cell);
+  check_outcome(cell);
+}
+void long_fault_run(std::uint32_t seed, bool with_agents) {
+  long_fault_play(seed, with_agents, [](fake_cell&) {});
 }
 
 TEST_CASE("Under random faults, no accepted job is lost and no task runs twice") {
@@ -284,5 +318,21 @@
   play_seeds(150, long_fault_run);
 }
 
+TEST_CASE("Under random faults, no task runs twice where starts need tickets") {
+  play_seeds(60, [](std::uint32_t seed, bool with_agents) {
+    INFO("seed " << seed << (with_agents ? ", through agents" : ""));
+    const auto cell = random_faults(seed, with_agents,
+                                    [seed](fake_cell& given) { require_tickets(given, seed); });
+    settle(*cell);
+    check_outcome(*cell);
+  });
+}
+
+TEST_CASE("Under long faults, no task runs twice where starts need tickets") {
+  play_seeds(60, [](std::uint32_t seed, bool with_agents) {
+    long_fault_play(seed, with_agents, [seed](fake_cell& given) { require_tickets(given, seed); });
+  });
+}
+
 }  // namespace
 }  // namespace monsoonmux::cell
--- a/src/cell/testing/run_history.h
+++ b/src/cell/testing/run_history.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -11,6 +12,7 @@
 #include "base/clock.h"
 #include "cell/testing/run_observer.h"
 #include "decide/task_ref.h"
+#include "model/cell_config.h"
 #include "model/job_spec.h"
 #include "model/runner_entry.h"
 
@@ -20,6 +22,7 @@
 struct submitted_job {
   job_spec spec;
   pool_id pool;
+  std::optional<advice_config> advice = std::nullopt;  // Of its queue.
 };
 
 // The history of runs on all runners, and the violations of the scheduler's guarantees.
@@ -106,6 +109,11 @@
     const auto parsed = parse_task_ref(task);
     return parsed ? this->shape_of(*parsed) : nullptr;
   }
+  // The terms of the tickets that the task's starts need; null: they need none.
+  const advice_config* advice_for(const task_ref& task) const {
+    const auto job = this->jobs.find(task.in.job.text);
+    return job != this->jobs.end() && job->second.advice ? &*job->second.advice : nullptr;
+  }
   // True if the task is a member of a gang.
   bool in_gang(const std::string& task) const {
     const step_spec* const shape = this->shape_of(task);
