An entry that shows a restart raises the token, so the first poll already fences

The second poll was executed there without an answer; under a higher token it would have refused the start.

Cause: the token rose only when a report showed the restart, although the runner's entry, or a poll whose answer is lost, can be ahead of that. Now the entry raises it as well; a poll that waits under the token before may then be refused, which ends no epoch. The test fails before (same token).

--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -62,6 +62,7 @@
   }
   if (restarted && next.incarnation != this->incarnation) {
     this->suspect_restart();
+    this->tokens.raise();
   }
   this->poll();
 }
@@ -189,7 +190,7 @@
     this->poll(due && request.acked_up_to == 0);
     return;
   }
-  if (answer.status == command_status::fenced) {
+  if (answer.status == command_status::fenced && !this->is_superseded(request.target.token)) {
     this->leader.token_refused(this->id);
     return;
   }
--- a/src/cell/testing/restart_fence_test.cc
+++ b/src/cell/testing/restart_fence_test.cc
@@ -135,6 +135,21 @@
   CHECK(f.leader.lost == std::vector<std::string>{"lease_lapsed"});
 }
 
+TEST_CASE("The first poll after an entry that shows a restart refuses what was sent before") {
+  session_fixture f;
+  f.report({});
+  const fencing_token before = f.last_poll().target.token;
+  const auto waiting = std::exchange(f.commands.answers, {}).back();
+  f.restart_runner();
+  f.list(next_incarnation, 0);
+  waiting({command_status::fenced, {}});
+  CHECK(f.leader.refused_tokens == 0);
+  f.loop.run_for(f.options.retry);
+  f.session.tick();
+  REQUIRE(f.commands.answers.size() == 1);
+  CHECK(f.last_poll().target.token > before);
+}
+
 TEST_CASE("The next leader's first token is higher than all of its predecessor") {
   runner_tokens tokens{epoch{7}};
   for (std::int64_t i = 0; i < 2 * runner_tokens::per_epoch; ++i) {
