--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -243,6 +243,7 @@
 
 void leader::tick() {
   this->ticker.start(this->options.tick, [this] { this->tick(); });
+  const instant begin = this->services.time.now();
   this->dispatcher.tick();
   if (!this->gate.is_open()) {
     return;  // A successor may already rely on this leader sending no more commands.
@@ -254,6 +255,7 @@
   this->acquit_tasks();
   this->judge_suspects();
   this->state.runners.quarantine_stalled(this->services.time.now());
+  this->tick_time += this->services.time.now() - begin;
   this->report_load();
   this->save_run_times();
   this->forget_departed_runners();
@@ -284,6 +286,7 @@
     this->make_plan();
     this->plan_ended = this->services.time.now();
     this->plan_duration = this->plan_ended - begin;
+    this->planning_time += this->plan_duration;
     this->services.metrics.observe("plan", this->plan_duration);
   });
 }
@@ -307,6 +310,7 @@
   this->state.advising_daemons = this->dispatcher.daemons();
   this->state.sendable_bytes = this->agents.sendable_bytes() - this->unsent_start_bytes;
   const plan decided = this->planner.decide(now, wall_ms);
+  this->planning += decided.work;
   std::map<job_id, std::vector<placement>> by_job;
   for (const placement& p : decided.placements) {
     by_job[p.task.in.job].push_back(p);
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -269,7 +269,12 @@
   millis longest_query_wait{0};           // The same.
   std::map<std::string, std::int64_t> bytes_reported;  // Byte counters at the last load report.
   std::int64_t unsent_start_bytes = 0;  // Of starts that wait until their records are in the log.
-  std::int64_t plan_rounds = 0;         // Since the last load report.
+  // Since the last load report: number of planning rounds, what they cost, and for how long they
+  // and the ticks took.
+  std::int64_t plan_rounds = 0;
+  planning_work planning;
+  millis planning_time{0};
+  millis tick_time{0};
   instant plan_ended{0};
   millis plan_duration{0};
   bool is_active = false;
--- a/src/cell/leader_reports.cc
+++ b/src/cell/leader_reports.cc
@@ -42,9 +42,18 @@
                                             {"longest_wish_ms", this->longest_query_wait.value},
                                             {"plan_ms", this->plan_duration.value},
                                             {"rounds", this->plan_rounds},
+                                            {"planning_ms", this->planning_time.value},
+                                            {"steps_planned", this->planning.steps},
+                                            {"looked_at_to_place", this->planning.placing},
+                                            {"looked_at_to_reserve", this->planning.reserving},
+                                            {"looked_at_to_query", this->planning.querying},
+                                            {"ticks_ms", this->tick_time.value},
                                             {"services", services_load},
                                             {"traffic", traffic}});
   this->plan_rounds = 0;
+  this->planning = {};
+  this->planning_time = millis{0};
+  this->tick_time = millis{0};
 }
 
 void leader::report_waiting(const std::vector<waiting_reason>& reasons) {
--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -34,6 +34,14 @@
 
 }  // namespace
 
+planning_work& planning_work::operator+=(const planning_work& other) {
+  this->steps += other.steps;
+  this->placing += other.placing;
+  this->reserving += other.reserving;
+  this->querying += other.querying;
+  return *this;
+}
+
 placer::placer(cell_state& cell, const placer_options& given) : state(cell), options(given) {}
 
 plan placer::decide(instant now, std::int64_t wall_ms) {
@@ -47,6 +55,7 @@
   this->deferred.clear();
   this->queried.clear();
   this->in_window.clear();
+  this->work = {};
   for (auto& [id, runner] : this->state.runners.all()) {
     if (!runner.listed && runner.allocations.empty()) {
       continue;  // Lost; some ids never come back.
@@ -62,6 +71,7 @@
   this->count_ending_runs(now);
   plan out;
   std::vector<waiting_step> steps = this->collect(now, wall_ms);
+  this->work.steps = static_cast<std::int64_t>(steps.size());
   for (waiting_step& step : steps) {
     if (step.query_only) {
       step.advice = &this->state.advice.entry_for(step.ref);
@@ -73,6 +83,7 @@
   }
   this->place_skipped_steps(now, out);
   this->query_out_of_turn(now, out);
+  out.work = this->work;
   return out;
 }
 
@@ -406,6 +417,7 @@
                                    const std::string& only_rack) {
   choice best;
   for (runner_state* runner : step.candidates) {
+    ++this->work.placing;
     if ((!only_rack.empty() && runner->entry.rack != only_rack) ||
         !this->may_take(step, *runner, now)) {
       continue;
--- a/src/decide/placer.h
+++ b/src/decide/placer.h
@@ -60,6 +60,16 @@
   millis query_wait{0};      // How long it has wanted one that was not sent.
 };
 
+// What a round costs: how many runners it has looked at, by what for.
+struct planning_work {
+  std::int64_t steps = 0;      // Steps that have tasks to place, or will have soon.
+  std::int64_t placing = 0;    // To find one for a task.
+  std::int64_t reserving = 0;  // To find one for a reservation.
+  std::int64_t querying = 0;   // To find one that an advice query names.
+
+  planning_work& operator+=(const planning_work& other);
+};
+
 struct plan {
   std::vector<placement> placements;
   std::vector<preemption> preemptions;
@@ -68,6 +78,7 @@
   std::int64_t deferred_queries = 0;
   millis longest_query_wait{0};  // Of the steps that want a query now.
   std::int64_t waiting_tasks = 0;
+  planning_work work;
   std::vector<waiting_reason> reasons;  // Of the first blocked steps of each pool.
 };
 
@@ -331,6 +342,7 @@
   std::set<step_ref> in_window;
   // By pool, the last step that place_skipped_steps() has tried.
   std::map<std::string, step_ref> last_tried;
+  planning_work work;               // Of the current round.
   std::int64_t sendable_bytes = 0;  // Of cell_state::sendable_bytes, what is left of it.
   std::map<step_ref, std::size_t> ending_runs;  // See count_ending_runs().
   struct reservation {
--- a/src/decide/placer_advice.cc
+++ b/src/decide/placer_advice.cc
@@ -207,6 +207,7 @@
   const std::size_t salt = std::hash<std::string>{}(step.ref.text());
   std::vector<query_candidate> out;
   for (runner_state* runner : this->pools[step.pool.text].runners) {
+    ++this->work.querying;
     const std::string& id = runner->entry.id;
     const auto known = step.advice->good.find(id);
     const bool asked = known != step.advice->good.end();
--- a/src/decide/placer_reservations.cc
+++ b/src/decide/placer_reservations.cc
@@ -90,6 +90,7 @@
 std::vector<placer::share> placer::shares_to_reserve(const waiting_step& step, instant now) {
   std::vector<runner_state*> usable;
   for (runner_state* runner : this->pools[step.pool.text].runners) {
+    ++this->work.reserving;
     const bool good = step.advice == nullptr || step.advice->known_good(runner->entry.id);
     const bool may_share_it = step.kept == isolation::alone || may_share(step, *runner);
     const bool in_use = runner->listed && runner->admitted && !runner->entry.draining;
