--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -367,10 +367,9 @@
 
 bool placer::can_be_alone(const waiting_step& step) {
   std::size_t fits = 0;
-  for (const runner_state* runner : this->pools[step.pool.text].runners) {
-    const bool usable = runner->listed && !runner->entry.draining &&
-                        this->permitted(step, *runner) &&
-                        (step.advice == nullptr || step.advice->known_good(runner->entry.id));
+  for (const runner_state* runner : this->good_runners(step)) {
+    ++this->work.placing;
+    const bool usable = runner->listed && !runner->entry.draining && this->permitted(step, *runner);
     const bool lasts =
         std::any_of(runner->allocations.begin(), runner->allocations.end(), [](const auto& entry) {
           return entry.second.expected.value <= 0 && !entry.second.stopping;
@@ -380,6 +379,20 @@
   return fits >= (step.shape->gang ? step.tasks.size() : 1);
 }
 
+std::vector<runner_state*> placer::good_runners(const waiting_step& step) {
+  if (step.advice == nullptr) {
+    return this->pools[step.pool.text].runners;
+  }
+  std::vector<runner_state*> out;
+  for (const auto& [id, is_good] : step.advice->good) {
+    runner_state* const runner = is_good ? this->state.runners.find(id) : nullptr;
+    if (runner != nullptr && runner->entry.pool == step.pool) {
+      out.push_back(runner);
+    }
+  }
+  return out;
+}
+
 bool placer::may_take(const waiting_step& step, const runner_state& runner, instant now) const {
   if (!runner.takes_work(now) || !allocated_resources(*step.shape).fits(runner.free_capacity()) ||
       !this->permitted(step, runner) || !may_share(step, runner) ||
--- a/src/decide/placer.h
+++ b/src/decide/placer.h
@@ -244,6 +244,9 @@
   // Appends the step once for each degree of isolation that some of its tasks need.
   static void split_by_isolation(waiting_step step, const live_step& tasks,
                                  std::vector<waiting_step>& out);
+  // Returns the runners of the pool on which the step may start, as far as the advice service was
+  // asked; all of them if it needs no advice.
+  std::vector<runner_state*> good_runners(const waiting_step& step);
   // True if some runners of the pool hold no run that lasts, so that the step's tasks can be
   // alone there in time.
   bool can_be_alone(const waiting_step& step);
--- a/src/decide/placer_reservations.cc
+++ b/src/decide/placer_reservations.cc
@@ -89,12 +89,11 @@
 
 std::vector<placer::share> placer::shares_to_reserve(const waiting_step& step, instant now) {
   std::vector<runner_state*> usable;
-  for (runner_state* runner : this->pools[step.pool.text].runners) {
+  for (runner_state* runner : this->good_runners(step)) {
     ++this->work.reserving;
-    const bool good = step.advice == nullptr || step.advice->known_good(runner->entry.id);
     const bool may_share_it = step.kept == isolation::alone || may_share(step, *runner);
     const bool in_use = runner->listed && runner->admitted && !runner->entry.draining;
-    if (good && may_share_it && in_use && this->permitted(step, *runner) &&
+    if (may_share_it && in_use && this->permitted(step, *runner) &&
         !this->reservations.contains(runner->entry.id)) {
       usable.push_back(runner);
     }
--- a/src/decide/testing/large_round_test.cc
+++ b/src/decide/testing/large_round_test.cc
@@ -13,6 +13,16 @@
   return planner.decide(cell.now, cell.now.value).work;
 }
 
+// The round after the first answers of the advice service.
+planning_work second_round(int runners) {
+  constexpr millis interval{100};
+  large_cell cell(runners);
+  placer planner(cell.state);
+  cell.answer(planner.decide(cell.now, cell.now.value));
+  cell.now = cell.now + interval;
+  return planner.decide(cell.now, cell.now.value).work;
+}
+
 // The load is the same, so nothing but the number of runners differs.
 TEST_CASE("Choosing the runners of advice queries costs no more in a pool four times as large") {
   constexpr int runners = 792;
@@ -21,6 +31,13 @@
   CHECK(first_round(4 * runners).querying <= usual + usual / 2);
 }
 
+TEST_CASE("Choosing the runners to reserve costs no more in a pool four times as large") {
+  constexpr int runners = 792;
+  const std::int64_t usual = second_round(runners).reserving;
+  REQUIRE(usual > 0);
+  CHECK(second_round(4 * runners).reserving <= usual + usual / 2);
+}
+
 // A query names up to 90 runners.
 TEST_CASE("A round after a takeover looks at few more runners than its advice queries name") {
   large_cell cell;
