--- a/src/decide/testing/placer_benchmark.cc
+++ b/src/decide/testing/placer_benchmark.cc
@@ -1,16 +1,24 @@
-// Measures the time of one planning round in a full cell: argv[1] jobs (900 by default)
-// wait for 35 runners without free capacity.
+// Measures the time of one planning round. Without arguments, in a full cell: 900 jobs (or argv[1])
+// wait for 35 runners without free capacity. With `large`, in a large cell after a takeover.
 
 #include <chrono>
 #include <iostream>
+#include <string_view>
 
 #include "decide/placer.h"
 #include "decide/testing/cell_builder.h"
+#include "decide/testing/large_cell.h"
 
-int main(int argc, char** argv) {
-  using namespace monsoonmux;
-  using namespace monsoonmux::cell;
-  const int jobs = argc > 1 ? std::atoi(argv[1]) : 900;
+namespace monsoonmux::cell {
+namespace {
+
+using std::chrono::steady_clock;
+
+std::int64_t microseconds_since(steady_clock::time_point begin) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(steady_clock::now() - begin).count();
+}
+
+void measure_full_cell(int jobs) {
   constexpr int runners = 35;
   constexpr int rounds = 200;
   cell_builder cell;
@@ -24,7 +32,7 @@
   }
   placer planner(cell.state);
   std::int64_t placed = 0;
-  const auto begin = std::chrono::steady_clock::now();
+  const auto begin = steady_clock::now();
   for (int r = 0; r < rounds; ++r) {
     const plan p = planner.decide(cell.now, cell.now.value);
     placed += static_cast<std::int64_t>(p.placements.size());
@@ -36,8 +44,34 @@
       cell.state.advice.answer(query.step, query.runners, tickets, cell.now + millis{2'000});
     }
   }
-  const auto taken = std::chrono::steady_clock::now() - begin;
-  std::cout << jobs << " jobs, " << placed << " placed, "
-            << std::chrono::duration_cast<std::chrono::microseconds>(taken).count() / rounds
+  std::cout << jobs << " jobs, " << placed << " placed, " << microseconds_since(begin) / rounds
             << " us per round\n";
 }
+
+void measure_large_cell() {
+  constexpr int rounds = 12;
+  constexpr millis interval{100};
+  large_cell cell;
+  placer planner(cell.state);
+  for (int r = 0; r < rounds; ++r) {
+    const auto begin = steady_clock::now();
+    const plan p = planner.decide(cell.now, cell.now.value);
+    std::cout << "round " << r << ": " << microseconds_since(begin) << " us, " << p.waiting_tasks
+              << " tasks waiting, " << p.placements.size() << " placed, " << p.advice_queries.size()
+              << " queries; runners looked at to place " << p.work.placing << ", to reserve "
+              << p.work.reserving << ", to query " << p.work.querying << "\n";
+    cell.answer(p);
+    cell.now = cell.now + interval;
+  }
+}
+
+}  // namespace
+}  // namespace monsoonmux::cell
+
+int main(int argc, char** argv) {
+  if (argc > 1 && std::string_view(argv[1]) == "large") {
+    monsoonmux::cell::measure_large_cell();
+  } else {
+    monsoonmux::cell::measure_full_cell(argc > 1 ? std::atoi(argv[1]) : 900);
+  }
+}
