An advice query that no daemon can take is not planned

Cause: a round planned two queries for each daemon, however many of them were busy; the dispatcher then refused most of them (130 to 317 a round in the log), and the next round planned them anew. Now the dispatcher tells the planner what its daemons can take. The others are deferred, as those beyond the window were; their wait and their turn count as before.

--- a/src/cell/advice_dispatcher.cc
+++ b/src/cell/advice_dispatcher.cc
@@ -23,26 +23,54 @@
   this->peers[this->self.text].last_received = never;
 }
 
-bool advice_dispatcher::is_available(const std::string& id, const peer& p) const {
-  const instant now = this->time.now();
+bool advice_dispatcher::is_available(const std::string& id, const peer& p, instant now) const {
   const bool is_reachable =
       id == this->self.text || now - p.last_received < this->options.peer_timeout;
   return is_reachable && p.avoid_until <= now;
 }
 
 std::size_t advice_dispatcher::daemons() const {
-  return static_cast<std::size_t>(std::count_if(
-      this->peers.begin(), this->peers.end(),
-      [this](const auto& entry) { return this->is_available(entry.first, entry.second); }));
+  const instant now = this->time.now();
+  return static_cast<std::size_t>(
+      std::count_if(this->peers.begin(), this->peers.end(), [this, now](const auto& entry) {
+        return this->is_available(entry.first, entry.second, now);
+      }));
+}
+
+std::size_t advice_dispatcher::daemons_kept_free(std::size_t available) const {
+  const auto scaled_minimum =
+      static_cast<std::size_t>(this->options.min_free_fraction * static_cast<double>(available));
+  const std::size_t kept = std::max(this->options.min_free_daemons, scaled_minimum);
+  return available > kept ? kept : 0;
+}
+
+advice_capacity advice_dispatcher::capacity() const {
+  const instant now = this->time.now();
+  advice_capacity out{0, 0, millis{0}};
+  std::size_t available = 0;
+  for (const auto& [id, p] : this->peers) {
+    if (!this->is_available(id, p, now)) {
+      continue;
+    }
+    ++available;
+    if (p.outstanding <= this->options.max_backlog) {
+      ++out.daemons;
+      out.backlog_left += this->options.max_backlog - p.outstanding;
+    }
+  }
+  const std::size_t kept = this->daemons_kept_free(available);
+  out.daemons_for_long = out.daemons > kept ? out.daemons - kept : 0;
+  return out;
 }
 
 advice_dispatcher::peer* advice_dispatcher::least_busy(millis expected, bool out_of_turn,
                                                        std::string& name) {
   peer* best = nullptr;
+  const instant now = this->time.now();
   std::size_t available = 0;
   std::size_t free = 0;
   for (auto& [id, p] : this->peers) {
-    if (!this->is_available(id, p)) {
+    if (!this->is_available(id, p, now)) {
       continue;
     }
     ++available;
@@ -56,11 +84,7 @@
     }
   }
   const bool is_long = expected > this->options.long_query && !out_of_turn;
-  const auto scaled_minimum =
-      static_cast<std::size_t>(this->options.min_free_fraction * static_cast<double>(available));
-  const std::size_t min_free_daemons = std::max(this->options.min_free_daemons, scaled_minimum);
-  const bool can_keep_free = available > min_free_daemons;
-  if (is_long && can_keep_free && free <= min_free_daemons) {
+  if (is_long && free <= this->daemons_kept_free(available)) {
     return nullptr;
   }
   return best;
--- a/src/cell/advice_dispatcher.h
+++ b/src/cell/advice_dispatcher.h
@@ -51,6 +51,8 @@
   void tick();
   // Number of daemons that can be sent queries.
   std::size_t daemons() const;
+  // Which queries they can take now.
+  advice_capacity capacity() const;
 
  private:
   struct peer {
@@ -66,7 +68,9 @@
     instant deadline;
   };
 
-  bool is_available(const std::string& id, const peer& p) const;
+  bool is_available(const std::string& id, const peer& p, instant now) const;
+  // Number of daemons to keep free of long queries; 0: too few are available for that.
+  std::size_t daemons_kept_free(std::size_t available) const;
   peer* least_busy(millis expected, bool out_of_turn, std::string& name);
   void settle(std::int64_t number, bool answered, const std::vector<ticket>& tickets);
 
--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -56,6 +56,7 @@
   this->queried.clear();
   this->in_window.clear();
   this->work = {};
+  this->planned = {};
   for (auto& [id, runner] : this->state.runners.all()) {
     if (!runner.listed && runner.allocations.empty()) {
       continue;  // Lost; some ids never come back.
--- a/src/decide/testing/large_round_test.cc
+++ b/src/decide/testing/large_round_test.cc
@@ -51,5 +51,31 @@
   CHECK(decided.work.querying <= 2 * named);
 }
 
+TEST_CASE("No advice query is planned that no daemon can take") {
+  large_cell cell;
+  placer planner(cell.state);
+  cell.state.advice_left = {0, 0, millis{0}};
+  const plan decided = planner.decide(cell.now, cell.now.value);
+  CHECK(decided.advice_queries.empty());
+  CHECK(decided.work.querying == 0);
+  CHECK(decided.deferred_queries > 0);
+}
+
+TEST_CASE("As many advice queries are planned as daemons can take, and few more") {
+  large_cell cell;
+  placer planner(cell.state);
+  constexpr std::size_t daemons = 12;
+  constexpr std::size_t daemons_for_long = 8;
+  cell.state.advice_left = {daemons, daemons_for_long, millis{0}};
+  std::size_t long_ones = 0;
+  const plan decided = planner.decide(cell.now, cell.now.value);
+  for (const advice_query& query : decided.advice_queries) {
+    long_ones += query.terms.per_call_ms > 100 ? 1 : 0;
+  }
+  CHECK(long_ones == daemons_for_long);
+  CHECK(decided.advice_queries.size() >= daemons);
+  CHECK(decided.advice_queries.size() <= daemons + daemons_for_long);
+}
+
 }  // namespace
 }  // namespace monsoonmux::cell
