A planning round names runners by numbers, and a look at one of them costs less

Cause: with the whole pools out of the way a round was still made of look-ups by string: of each ticket's runner, of its pool, of reservations, of what is known of a runner; ordering reservations searched a list in each comparison, and each runner's use was reckoned for one task and for as many as an empty runner holds, though the second is seldom needed; AntiAffinity was counted over all runs of a runner, and so was what lasting runs leave of it, where a look at its free capacity tells. Now runners have numbers within the process, what the advice service said of a step is a list sorted by them, and reservations and pools are found by address. No preference changes but the order in which steps name equally good runners.

--- a/src/decide/advice_cache.cc
+++ b/src/decide/advice_cache.cc
@@ -1,21 +1,41 @@
 #include "decide/advice_cache.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace monsoonmux::cell {
+namespace {
+
+// A runner that an answer names, with its ticket if it got one.
+struct named_runner {
+  runner_number runner;
+  const ticket* granted = nullptr;
+
+  bool operator<(const named_runner& other) const { return this->runner < other.runner; }
+};
+
+}  // namespace
 
-const std::string* advice_cache::step_advice::ticket_for(const std::string& runner,
-                                                         instant when) const {
-  const auto it = this->tickets.find(runner);
-  return it != this->tickets.end() && when < it->second.valid_until ? &it->second.text : nullptr;
+const advice_cache::known_runner* advice_cache::step_advice::find(runner_number runner) const {
+  const auto it = std::lower_bound(
+      this->known.begin(), this->known.end(), runner,
+      [](const known_runner& each, runner_number number) { return each.runner < number; });
+  return it != this->known.end() && it->runner == runner ? &*it : nullptr;
 }
 
-bool advice_cache::step_advice::known_good(const std::string& runner) const {
-  const auto it = this->good.find(runner);
-  return it != this->good.end() && it->second;
+const std::string* advice_cache::step_advice::ticket_for(runner_number runner, instant when) const {
+  const known_runner* const found = this->find(runner);
+  return found != nullptr && when < found->ticket_until ? &found->ticket : nullptr;
+}
+
+bool advice_cache::step_advice::known_good(runner_number runner) const {
+  const known_runner* const found = this->find(runner);
+  return found != nullptr && found->good;
 }
 
 bool advice_cache::step_advice::holds_ticket(instant when) const {
-  return std::any_of(this->tickets.begin(), this->tickets.end(),
-                     [when](const auto& entry) { return when < entry.second.valid_until; });
+  return std::any_of(this->known.begin(), this->known.end(),
+                     [when](const known_runner& each) { return when < each.ticket_until; });
 }
 
 void advice_cache::step_advice::sent(bool out_of_turn) {
@@ -41,13 +61,30 @@
                           const std::vector<ticket>& tickets, instant valid_until) {
   step_advice& advice = this->steps[step];
   advice.query_pending = false;
+  std::vector<named_runner> named;
   for (const std::string& runner : asked) {
-    advice.good.emplace(runner, false);
+    named.push_back({this->numbers->of(runner), nullptr});
   }
   for (const ticket& t : tickets) {
-    advice.good[t.runner] = true;
-    advice.tickets[t.runner] = {t.text, valid_until};
+    named.push_back({this->numbers->of(t.runner), &t});
   }
+  std::sort(named.begin(), named.end());
+  std::vector<known_runner> merged;
+  merged.reserve(advice.known.size() + asked.size());
+  auto before = advice.known.begin();
+  for (const named_runner& each : named) {
+    for (; before != advice.known.end() && before->runner <= each.runner; ++before) {
+      merged.push_back(std::move(*before));
+    }
+    if (merged.empty() || merged.back().runner != each.runner) {
+      merged.push_back({each.runner, false, {}, instant{0}});
+    }
+    if (each.granted != nullptr) {
+      merged.back() = {each.runner, true, each.granted->text, valid_until};
+    }
+  }
+  std::move(before, advice.known.end(), std::back_inserter(merged));
+  advice.known = std::move(merged);
 }
 
 void advice_cache::answer(const queue_id& queue, const step_ref& step,
@@ -56,10 +93,10 @@
   const step_advice& before = this->steps[step];
   tally& known = this->tallies[queue];
   for (const std::string& runner : asked) {
-    known.asked += before.good.contains(runner) ? 0 : 1;
+    known.asked += before.asked(this->numbers->of(runner)) ? 0 : 1;
   }
   for (const ticket& t : tickets) {
-    known.good += before.good.contains(t.runner) ? 0 : 1;
+    known.good += before.asked(this->numbers->of(t.runner)) ? 0 : 1;
   }
   this->answer(step, asked, tickets, valid_until);
 }
@@ -73,14 +110,22 @@
 std::string advice_cache::ticket_for(const step_ref& step, const std::string& runner,
                                      instant now) const {
   const step_advice* const advice = this->find(step);
-  const std::string* const text = advice != nullptr ? advice->ticket_for(runner, now) : nullptr;
+  const std::optional<runner_number> number = this->numbers->find(runner);
+  const std::string* const text =
+      advice != nullptr && number ? advice->ticket_for(*number, now) : nullptr;
   return text != nullptr ? *text : std::string();
 }
 
 void advice_cache::drop_ticket(const step_ref& step, const std::string& runner) {
   const auto it = this->steps.find(step);
-  if (it != this->steps.end()) {
-    it->second.tickets.erase(runner);
+  if (it == this->steps.end()) {
+    return;
+  }
+  const std::optional<runner_number> number = this->numbers->find(runner);
+  for (known_runner& each : it->second.known) {
+    if (each.runner == number) {
+      each.ticket_until = instant{0};
+    }
   }
 }
 
--- a/src/decide/advice_cache.h
+++ b/src/decide/advice_cache.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -10,6 +11,7 @@
 
 #include "base/clock.h"
 #include "decide/isolation.h"
+#include "decide/runner_number.h"
 #include "decide/task_ref.h"
 #include "model/cell_config.h"
 
@@ -28,14 +30,15 @@
 // many runners, and later ones only those that are known to be good.
 class advice_cache {
  public:
+  // What is known of a runner that a query has named.
+  struct known_runner {
+    runner_number runner;
+    bool good = false;
+    std::string ticket;       // The newest one; empty if there was none.
+    instant ticket_until{0};  // When it expires.
+  };
   struct step_advice {
-    // Whether a runner is good; holds only runners that a query has named.
-    std::unordered_map<std::string, bool> good;
-    struct cached_ticket {
-      std::string text;
-      instant valid_until;
-    };
-    std::unordered_map<std::string, cached_ticket> tickets;
+    std::vector<known_runner> known;  // Sorted by the runners' numbers.
     bool query_pending = false;
     bool pending_out_of_turn = false;  // The pending query is one of advice_query::out_of_turn.
     instant retry_at{0};               // No query is sent before this time.
@@ -55,15 +58,18 @@
     }
     void sent(bool out_of_turn);
 
+    // Null if no query has named the runner.
+    const known_runner* find(runner_number runner) const;
+    bool asked(runner_number runner) const { return this->find(runner) != nullptr; }
+    bool known_good(runner_number runner) const;
     // Returns the ticket for a start at `when`; null if none is valid then.
-    const std::string* ticket_for(const std::string& runner, instant when) const;
-    bool known_good(const std::string& runner) const;
-    // A query has named the runner.
-    bool asked(const std::string& runner) const { return this->good.contains(runner); }
+    const std::string* ticket_for(runner_number runner, instant when) const;
     // Some ticket is valid at `when`.
     bool holds_ticket(instant when) const;
   };
 
+  explicit advice_cache(std::shared_ptr<runner_numbers> numbers) : numbers(std::move(numbers)) {}
+
   step_advice& entry_for(const step_ref& step) { return this->steps[step]; }
   const step_advice* find(const step_ref& step) const;
   // Stores an answer: `tickets` for the good ones of the runners `asked`.
@@ -89,6 +95,7 @@
     double good = 4;
   };
 
+  const std::shared_ptr<runner_numbers> numbers;
   std::map<step_ref, step_advice> steps;
   std::unordered_map<queue_id, tally> tallies;
 };
--- a/src/decide/cell_state.h
+++ b/src/decide/cell_state.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <limits>
+#include <memory>
 #include <string>
 #include <unordered_map>
 
@@ -28,9 +29,10 @@
 struct cell_state {
   cell_config config;
   std::unordered_map<job_id, live_job> jobs;
-  runner_table runners;
+  std::shared_ptr<runner_numbers> runner_names = std::make_shared<runner_numbers>();
+  runner_table runners{runner_names};
   team_usage teams;
-  advice_cache advice;
+  advice_cache advice{runner_names};
   // Number of daemons that query the advice service, each one query at a time.
   std::size_t advising_daemons = 8;
   advice_capacity advice_left;  // Of them.
--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -57,11 +57,13 @@
   this->in_window.clear();
   this->work = {};
   this->planned = {};
+  this->by_number.assign(this->state.runner_names->size(), {});
   for (auto& [id, runner] : this->state.runners.all()) {
     if (!runner.listed && runner.allocations.empty()) {
       continue;  // Lost; some ids never come back.
     }
     pool_round& round = this->pools[runner.entry.pool.text];
+    this->by_number[runner.number.value] = {&runner, &round};
     round.max_blocked = this->options.max_blocked_steps;
     round.runners.push_back(&runner);
     // Until a runner has answered, nothing but its entry tells that it has this capacity.
@@ -124,6 +126,7 @@
         waiting.shape = &shape;
         waiting.queue = this->state.config.find_queue(job.submission().queue);
         waiting.pool = waiting.queue != nullptr ? waiting.queue->pool : job.submission().pool;
+        waiting.round = &this->pools[waiting.pool.text];
         split_by_isolation(std::move(waiting), step, out);
       }
     }
@@ -188,7 +191,7 @@
   if (this->sendable_bytes <= 0) {
     return;  // Waits for the link, not for runners.
   }
-  pool_round& round = this->pools[step.pool.text];
+  pool_round& round = *step.round;
   if (round.blocked >= round.max_blocked) {
     round.skipped.push_back(&step);
     return;
@@ -227,13 +230,14 @@
 
 void placer::find_candidates(waiting_step& step, instant now) {
   if (step.advice == nullptr) {
-    step.candidates = this->pools[step.pool.text].runners;
+    step.candidates = step.round->runners;
     return;
   }
   const instant needed_until = now + this->options.ticket_margin;
-  for (const auto& [id, cached] : step.advice->tickets) {
-    runner_state* const runner = this->state.runners.find(id);
-    if (cached.valid_until > needed_until && runner != nullptr && runner->entry.pool == step.pool) {
+  for (const advice_cache::known_runner& known : step.advice->known) {
+    runner_state* const runner =
+        known.ticket_until > needed_until ? this->runner_of(known, step) : nullptr;
+    if (runner != nullptr) {
       step.candidates.push_back(runner);
     }
   }
@@ -315,7 +319,7 @@
     out.queries = step.advice->queries;
     out.query_wait = step.advice->waited(now);
   }
-  for (const runner_state* runner : this->pools[step.pool.text].runners) {
+  for (const runner_state* runner : step.round->runners) {
     if (!runner->takes_work(now)) {
       ++out.takes_no_work;
     } else if (this->blocked_by_reservation(step, *runner, now)) {
@@ -324,11 +328,13 @@
       ++out.no_room;
     } else if (!this->permitted(step, *runner) || !may_share(step, *runner)) {
       ++out.not_permitted;
-    } else if (step.advice != nullptr && !step.advice->asked(runner->entry.id)) {
+    } else if (step.advice != nullptr && !step.advice->asked(runner->number)) {
       ++out.not_asked;
-    } else if (step.advice != nullptr && !step.advice->known_good(runner->entry.id)) {
+    } else if (step.advice != nullptr && !step.advice->known_good(runner->number)) {
       ++out.not_good;
-    } else if (!this->may_take(step, *runner, now)) {
+    } else if (step.advice != nullptr &&
+               step.advice->ticket_for(runner->number, now + this->options.ticket_margin) ==
+                   nullptr) {
       ++out.no_ticket;
     }
   }
@@ -345,9 +351,12 @@
     return false;
   }
   if (step.shape->anti_affinity > 0) {
-    const auto same =
-        std::count_if(runner.allocations.begin(), runner.allocations.end(),
-                      [&step](const auto& entry) { return entry.first.task.in == step.ref; });
+    const task_ref first{step.ref, 0};
+    std::int32_t same = 0;
+    for (auto it = runner.allocations.lower_bound({first, 0});
+         it != runner.allocations.end() && it->first.task.in == step.ref; ++it) {
+      ++same;
+    }
     return same < step.shape->anti_affinity;
   }
   return true;
@@ -382,18 +391,26 @@
 
 std::vector<runner_state*> placer::good_runners(const waiting_step& step) {
   if (step.advice == nullptr) {
-    return this->pools[step.pool.text].runners;
+    return step.round->runners;
   }
   std::vector<runner_state*> out;
-  for (const auto& [id, is_good] : step.advice->good) {
-    runner_state* const runner = is_good ? this->state.runners.find(id) : nullptr;
-    if (runner != nullptr && runner->entry.pool == step.pool) {
+  for (const advice_cache::known_runner& known : step.advice->known) {
+    runner_state* const runner = known.good ? this->runner_of(known, step) : nullptr;
+    if (runner != nullptr) {
       out.push_back(runner);
     }
   }
   return out;
 }
 
+runner_state* placer::runner_of(const advice_cache::known_runner& known,
+                                const waiting_step& step) const {
+  const std::size_t number = known.runner.value;
+  const bool is_known = number < this->by_number.size();
+  return is_known && this->by_number[number].pool == step.round ? this->by_number[number].runner
+                                                                : nullptr;
+}
+
 bool placer::may_take(const waiting_step& step, const runner_state& runner, instant now) const {
   if (!runner.takes_work(now) || !allocated_resources(*step.shape).fits(runner.free_capacity()) ||
       !this->permitted(step, runner) || !may_share(step, runner) ||
@@ -403,8 +420,7 @@
   if (step.shape->best_effort && runner.free_capacity().cpu < step.shape->need.cpu) {
     return false;  // The task would get almost no processor time there.
   }
-  return step.advice == nullptr ||
-         step.advice->ticket_for(runner.entry.id, now + this->options.ticket_margin) != nullptr;
+  return true;
 }
 
 double placer::score(const waiting_step& step, const live_task& task,
--- a/src/decide/placer.h
+++ b/src/decide/placer.h
@@ -172,6 +172,7 @@
   plan decide(instant now, std::int64_t wall_ms);
 
  private:
+  struct pool_round;
   struct waiting_step {
     urgency order;
     step_ref ref;
@@ -179,6 +180,7 @@
     const step_spec* shape = nullptr;
     const queue_config* queue = nullptr;
     pool_id pool;
+    pool_round* round = nullptr;
     advice_cache::step_advice* advice = nullptr;  // Null: the queue needs no advice.
     std::vector<std::int32_t> tasks;              // Indices of the waiting tasks.
     // Number of other tasks that will wait soon; only advice queries take them into account.
@@ -198,7 +200,8 @@
   struct share {
     runner_state* runner = nullptr;
     resources need;
-    instant fits_at;  // When the runner is expected to have `need` free.
+    instant fits_at;            // When the runner is expected to have `need` free.
+    bool was_reserved = false;  // By the step, in the last round.
   };
 
   // State of one pool in the current round.
@@ -248,6 +251,8 @@
   // Returns the runners of the pool on which the step may start, as far as the advice service was
   // asked; all of them if it needs no advice.
   std::vector<runner_state*> good_runners(const waiting_step& step);
+  // Null if the runner is not of the step's pool any more.
+  runner_state* runner_of(const advice_cache::known_runner& known, const waiting_step& step) const;
   // True if some runners of the pool hold no run that lasts, so that the step's tasks can be
   // alone there in time.
   bool can_be_alone(const waiting_step& step);
@@ -342,11 +347,11 @@
   double starts_that_fit(const waiting_step& step, const runner_state& runner) const;
   waiting_reason explain(const waiting_step& step, instant now);
   bool permitted(const waiting_step& step, const runner_state& runner) const;
+  // True if a task of the step can start on the runner, a candidate, now.
   bool may_take(const waiting_step& step, const runner_state& runner, instant now) const;
   choice best_runner(const waiting_step& step, const live_task& task, instant now,
                      const std::string& only_rack);
   double score(const waiting_step& step, const live_task& task, const runner_state& runner) const;
-  bool known_good(const waiting_step& step, const runner_state& runner) const;
   millis expected_time(const waiting_step& step) const;
   void allocate(const waiting_step& step, std::int32_t index, std::int32_t run,
                 const runner_state& runner, instant now);
@@ -359,6 +364,12 @@
   cell_state& state;
   const placer_options options;
   std::unordered_map<std::string, pool_round> pools;
+  // The runners by their numbers, in the current round; null: unknown or lost.
+  struct numbered_runner {
+    runner_state* runner = nullptr;
+    const pool_round* pool = nullptr;
+  };
+  std::vector<numbered_runner> by_number;
   // In the current round: steps whose query was deferred, those with a query in the plan, and
   // those that count in the advice window.
   std::vector<const waiting_step*> deferred;
@@ -381,11 +392,11 @@
     std::int32_t priority = 0;
     instant free_at;  // When the step that reserved the runner can expect to start there.
   };
-  std::unordered_map<std::string, reservation> reservations;
+  std::unordered_map<const runner_state*, reservation> reservations;
   // Runners that steps reserved in the last round. A reservation that moved from runner
   // to runner would never see any of them become empty.
-  std::map<step_ref, std::vector<std::string>> previous_reservations;
-  std::map<step_ref, std::vector<std::string>> new_reservations;
+  std::map<step_ref, std::vector<runner_number>> previous_reservations;
+  std::map<step_ref, std::vector<runner_number>> new_reservations;
   // Since when lasting steps have found no runner, as of the last round.
   std::map<step_ref, instant> held_since;
   std::map<step_ref, instant> still_held;  // The same, of the current round.
--- a/src/decide/placer_advice.cc
+++ b/src/decide/placer_advice.cc
@@ -115,15 +115,14 @@
                             step.advice->holds_ticket(now);
   if (uses_service && this->in_window.insert(step.ref).second) {
     const bool out_of_turn = step.advice->query_pending && step.advice->pending_out_of_turn;
-    this->pools[step.pool.text].pending_out_of_turn += out_of_turn ? 1 : 0;
+    step.round->pending_out_of_turn += out_of_turn ? 1 : 0;
     this->advice_use_for(step).time_ms += this->usual_query_ms(step);
   }
 }
 
 double placer::usual_query_ms(const waiting_step& step) {
   const advice_config& terms = *step.queue->advice;
-  const std::size_t named =
-      std::min(this->pools[step.pool.text].runners.size(), this->options.runners_per_query);
+  const std::size_t named = std::min(step.round->runners.size(), this->options.runners_per_query);
   return terms.per_call_ms + terms.per_runner_ms * static_cast<double>(named);
 }
 
@@ -146,8 +145,7 @@
 }
 
 placer::pool_round::advice_use& placer::advice_use_for(const waiting_step& step) {
-  pool_round& round = this->pools[step.pool.text];
-  return this->is_long_query(step) ? round.long_queries : round.short_queries;
+  return this->is_long_query(step) ? step.round->long_queries : step.round->short_queries;
 }
 
 void placer::add_query(const waiting_step& step, bool only_with_room, instant now, plan& out) {
@@ -181,6 +179,11 @@
   if (!label.empty() && !runner.has_label(label)) {
     return false;
   }
+  const resources need = allocated_resources(*step.shape);
+  const bool alone_matters = step.kept == isolation::alone || runner.runs_kept_alone > 0;
+  if (!alone_matters && need.fits(runner.free_capacity())) {
+    return true;
+  }
   resources left = runner.entry.capacity;
   for (const auto& [key, run] : runner.allocations) {
     const bool lasts = run.expected.value <= 0 && !run.stopping;
@@ -193,7 +196,7 @@
       return false;
     }
   }
-  return allocated_resources(*step.shape).fits(left);
+  return need.fits(left);
 }
 
 std::size_t placer::tasks_to_query_for(const waiting_step& step) {
--- a/src/decide/placer_query_choice.cc
+++ b/src/decide/placer_query_choice.cc
@@ -13,6 +13,13 @@
 // Prime, and larger than any pool, so that steps of this size visit each index of a pool once.
 constexpr std::size_t index_stride = 1'000'003;
 
+std::size_t hash_of(const step_ref& step) {
+  constexpr std::size_t factor = 0x9E3779B97F4A7C15;  // Odd, with bits that follow no pattern.
+  const auto in_job =
+      static_cast<std::size_t>(step.occurrence) * factor + static_cast<std::size_t>(step.step);
+  return (std::hash<std::string>{}(step.job.text) ^ in_job) * factor;
+}
+
 }  // namespace
 
 // False if advice about the runner is of no use to the step.
@@ -48,20 +55,19 @@
 std::vector<placer::query_candidate> placer::good_candidates(const waiting_step& step, instant now,
                                                              double& startable) {
   const instant needed_until = now + this->time_to_renew(*step.queue->advice);
-  const std::size_t salt = std::hash<std::string>{}(step.ref.text());
+  const std::size_t salt = hash_of(step.ref);
   std::vector<query_candidate> out;
-  for (const auto& [id, is_good] : step.advice->good) {
-    if (!is_good) {
+  for (const advice_cache::known_runner& known : step.advice->known) {
+    if (!known.good) {
       continue;
     }
     ++this->work.querying;
-    runner_state* const runner = this->state.runners.find(id);
-    if (runner == nullptr || runner->entry.pool != step.pool ||
-        !this->may_query_about(step, *runner, now)) {
+    runner_state* const runner = this->runner_of(known, step);
+    if (runner == nullptr || !this->may_query_about(step, *runner, now)) {
       continue;
     }
     const double starts = this->starts_now(step, *runner, now);
-    if (step.advice->ticket_for(id, needed_until) != nullptr) {
+    if (needed_until < known.ticket_until) {
       startable += starts;
       continue;
     }
@@ -69,7 +75,7 @@
         this->fits_at(*runner, runner->entry.capacity, step, now) > needed_until) {
       continue;  // It will not be empty before the ticket expires.
     }
-    const std::size_t tie_break = std::hash<std::string>{}(id) * (2 * salt + 1);
+    const std::size_t tie_break = (known.runner.value + 1) * (2 * salt + 1);
     out.push_back({runner, starts, tie_break});
   }
   std::sort(out.begin(), out.end(), precedes_in_query);
@@ -108,7 +114,7 @@
 
 // Adds runners that no query of the step has named yet, with free capacity for one of its tasks.
 void placer::add_unasked_with_room(const waiting_step& step, instant now, query_choice& choice) {
-  const std::vector<pool_round::room>& by_room = runners_by_room(this->pools[step.pool.text]);
+  const std::vector<pool_round::room>& by_room = runners_by_room(*step.round);
   const resources need = allocated_resources(*step.shape);
   const bool on_accelerators = need.accelerators.value > 0;
   const std::pair least(need.accelerators, on_accelerators ? millicores{0} : need.cpu);
@@ -117,11 +123,11 @@
                            [&least](const auto& entry) { return entry.free_capacity >= least; });
   const auto count = static_cast<std::size_t>(end - by_room.begin());
   const double good_share = this->state.advice.good_share(step.queue->name);
-  const std::size_t first = std::hash<std::string>{}(step.ref.text());
+  const std::size_t first = hash_of(step.ref);
   for (std::size_t i = 0; i < count; ++i) {
     ++this->work.querying;
     runner_state* const runner = by_room[(first + i * index_stride) % count].runner;
-    if (step.advice->asked(runner->entry.id) || !this->may_query_about(step, *runner, now)) {
+    if (step.advice->asked(runner->number) || !this->may_query_about(step, *runner, now)) {
       continue;
     }
     const double starts = this->starts_now(step, *runner, now) * good_share;
@@ -138,10 +144,10 @@
     return true;
   }
   bool found = false;
-  for (const pool_round::room& entry : runners_by_room(this->pools[step.pool.text])) {
+  for (const pool_round::room& entry : runners_by_room(*step.round)) {
     ++this->work.querying;
     const runner_state& runner = *entry.runner;
-    if (step.advice->asked(runner.entry.id) || !this->may_query_about(step, runner, now) ||
+    if (step.advice->asked(runner.number) || !this->may_query_about(step, runner, now) ||
         this->starts_now(step, runner, now) > 0) {
       continue;
     }
--- a/src/decide/placer_reservations.cc
+++ b/src/decide/placer_reservations.cc
@@ -59,16 +59,16 @@
 std::vector<placer::share> placer::earliest_shares(std::vector<share> candidates,
                                                    const waiting_step& step) const {
   std::size_t members = step.tasks.size();
-  const auto before = this->previous_reservations.find(step.ref);
-  const auto was_reserved = [&](const share& part) {
-    return before != this->previous_reservations.end() &&
-           std::find(before->second.begin(), before->second.end(), part.runner->entry.id) !=
-               before->second.end();
-  };
   std::erase_if(candidates, [](const share& part) { return part.fits_at == never; });
+  const auto before = this->previous_reservations.find(step.ref);
+  for (share& part : candidates) {
+    part.was_reserved = before != this->previous_reservations.end() &&
+                        std::find(before->second.begin(), before->second.end(),
+                                  part.runner->number) != before->second.end();
+  }
   std::stable_sort(candidates.begin(), candidates.end(), [&](const share& a, const share& b) {
-    return std::tuple(!was_reserved(a), a.fits_at, b.runner->free_capacity().accelerators) <
-           std::tuple(!was_reserved(b), b.fits_at, a.runner->free_capacity().accelerators);
+    return std::tuple(!a.was_reserved, a.fits_at, b.runner->free_capacity().accelerators) <
+           std::tuple(!b.was_reserved, b.fits_at, a.runner->free_capacity().accelerators);
   });
   const resources each = allocated_resources(*step.shape);
   std::vector<share> chosen;
@@ -94,7 +94,7 @@
     const bool may_share_it = step.kept == isolation::alone || may_share(step, *runner);
     const bool in_use = runner->listed && runner->admitted && !runner->entry.draining;
     if (may_share_it && in_use && this->permitted(step, *runner) &&
-        !this->reservations.contains(runner->entry.id)) {
+        !this->reservations.contains(runner)) {
       usable.push_back(runner);
     }
   }
@@ -105,16 +105,21 @@
   // runners for that, counts as many tasks per runner as an empty one can hold.
   const resources each = allocated_resources(*step.shape);
   std::vector<share> one_per_runner;
-  std::vector<share> packed;
   for (runner_state* runner : usable) {
     one_per_runner.push_back({runner, each, this->fits_at(*runner, each, step, now)});
+  }
+  std::vector<share> chosen = this->earliest_shares(std::move(one_per_runner), step);
+  if (!chosen.empty()) {
+    return chosen;
+  }
+  std::vector<share> packed;
+  for (runner_state* runner : usable) {
     const auto most = static_cast<std::int64_t>(this->members_that_fit(step, *runner));
     if (most > 0) {
       packed.push_back({runner, each * most, this->fits_at(*runner, each * most, step, now)});
     }
   }
-  std::vector<share> chosen = this->earliest_shares(std::move(one_per_runner), step);
-  return chosen.empty() ? this->earliest_shares(std::move(packed), step) : chosen;
+  return this->earliest_shares(std::move(packed), step);
 }
 
 std::vector<placer::share> placer::empty_runners_to_reserve(
@@ -158,7 +163,7 @@
 }
 
 bool placer::may_reserve(const waiting_step& step) {
-  const pool_round& round = this->pools[step.pool.text];
+  const pool_round& round = *step.round;
   if (step.kept == isolation::alone) {
     return round.isolating_steps < this->options.max_reserving_steps;
   }
@@ -188,15 +193,15 @@
   for (const share& part : chosen) {
     this->reserve_runner(part, step, step.shape->gang ? all_free : part.fits_at, now, out);
   }
-  pool_round& round = this->pools[step.pool.text];
+  pool_round& round = *step.round;
   ++(step.kept == isolation::alone ? round.isolating_steps : round.reserving_steps);
 }
 
 void placer::reserve_runner(const share& part, const waiting_step& step, instant free_at,
                             instant now, plan& out) {
-  const std::string& id = part.runner->entry.id;
-  this->reservations.emplace(id, reservation{step.ref, step.kept, step.order.priority, free_at});
-  this->new_reservations[step.ref].push_back(id);
+  this->reservations.emplace(part.runner,
+                             reservation{step.ref, step.kept, step.order.priority, free_at});
+  this->new_reservations[step.ref].push_back(part.runner->number);
   if (free_at <= now + this->options.preempt_within) {
     this->preempt(part, step, now, out);
   }
@@ -206,7 +211,7 @@
 // work for longer than max_hold: no end of the reserving step's wait is certain.
 bool placer::blocked_by_reservation(const waiting_step& step, const runner_state& runner,
                                     instant now) const {
-  const auto it = this->reservations.find(runner.entry.id);
+  const auto it = this->reservations.find(&runner);
   if (it == this->reservations.end() ||
       (it->second.by == step.ref && it->second.kept == step.kept)) {
     return false;
--- a/src/decide/runner_table.cc
+++ b/src/decide/runner_table.cc
@@ -9,8 +9,16 @@
          this->entry.labels.end();
 }
 
+runner_state& runner_table::state_of(const std::string& id) {
+  const auto [it, is_new] = this->by_id.try_emplace(id);
+  if (is_new) {
+    it->second.number = this->numbers->of(id);
+  }
+  return it->second;
+}
+
 runner_state& runner_table::update(const runner_entry& entry) {
-  runner_state& state = this->by_id[entry.id];
+  runner_state& state = this->state_of(entry.id);
   if (state.entry.draining && state.entry.incarnation != entry.incarnation) {
     state.drained_incarnation = state.entry.incarnation;
   }
@@ -34,7 +42,7 @@
 }
 
 void runner_table::mark_unreadable(const std::string& id) {
-  runner_state& state = this->by_id[id];
+  runner_state& state = this->state_of(id);
   state.listed = false;
   state.unreadable = true;
 }
@@ -60,7 +68,7 @@
 }
 
 bool runner_table::add(const std::string& id, const allocation& run) {
-  runner_state& state = this->by_id[id];
+  runner_state& state = this->state_of(id);
   const bool is_new = state.allocations.emplace(run_key{run.task, run.run}, run).second;
   if (!is_new) {
     return false;
