All datagrams that wait are handled in one turn of the event loop

Cause: a daemon read one datagram in a turn of its event loop. A leader that has just taken over has hundreds of answers of runners in each turn, and its turns take tens of milliseconds, so the answers of the advice service, one datagram each, waited in the socket until the queries counted as unanswered; for that their daemons get no queries for 2 s. Now all that wait are read, up to 128 in a turn, so that a flood does not keep the loop from all else.

--- a/src/cell/peer_link.cc
+++ b/src/cell/peer_link.cc
@@ -70,25 +70,44 @@
 }
 
 void peer_link::receive() {
-  this->socket.async_receive_from(
-      asio::buffer(this->buffer), this->from,
-      [this, a = this->alive](asio::error_code error, std::size_t size) {
-        if (!*a || error == asio::error::operation_aborted) {
-          return;
-        }
-        if (!error) {
-          this->metrics.count("bytes_received_datagrams",
-                              static_cast<std::int64_t>(size + header_bytes));
-          const auto message = decode_peer_message(std::string(this->buffer.data(), size));
-          if (message) {
-            this->on_message(*message, {this->from.address().to_string(), this->from.port()});
-          } else {
-            this->events.write("datagram_unreadable",
-                               {{"from", this->from.address().to_string()}, {"bytes", size}});
-          }
-        }
-        this->receive();
-      });
+  this->socket.async_wait(asio::ip::udp::socket::wait_read,
+                          [this, a = this->alive](asio::error_code error) {
+                            if (!*a || error == asio::error::operation_aborted) {
+                              return;
+                            }
+                            this->receive_all(*a);
+                          });
+}
+
+// One datagram a turn of the event loop would be too few: on a busy leader a turn takes tens of
+// milliseconds, and answers would wait until they count as lost.
+void peer_link::receive_all(const bool& is_alive) {
+  for (std::size_t i = 0; i < max_datagrams_per_turn; ++i) {
+    asio::error_code error;
+    asio::ip::udp::endpoint from;
+    const std::size_t size = this->socket.receive_from(asio::buffer(this->buffer), from, 0, error);
+    if (error == asio::error::would_block) {
+      break;
+    }
+    if (!error) {
+      this->handle({this->buffer.data(), size}, {from.address().to_string(), from.port()});
+    }
+    if (!is_alive) {
+      return;
+    }
+  }
+  this->receive();
+}
+
+void peer_link::handle(std::string_view datagram, const peer_address& from) {
+  this->metrics.count("bytes_received_datagrams",
+                      static_cast<std::int64_t>(datagram.size() + header_bytes));
+  const auto message = decode_peer_message(std::string(datagram));
+  if (!message) {
+    this->events.write("datagram_unreadable", {{"from", from.host}, {"bytes", datagram.size()}});
+    return;
+  }
+  this->on_message(*message, from);
 }
 
 }  // namespace monsoonmux::cell
--- a/src/cell/peer_link.h
+++ b/src/cell/peer_link.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "async/event_log.h"
 #include "async/metric_registry.h"
@@ -31,16 +32,20 @@
 
  private:
   void receive();
+  // Handles the datagrams that have arrived, up to max_datagrams_per_turn, and waits for more.
+  void receive_all(const bool& is_alive);
+  void handle(std::string_view datagram, const peer_address& from);
   void send_bytes(const std::string& bytes, const peer_address& to);
   void count_sent(const peer_message& message, std::size_t bytes);
 
   static constexpr std::size_t max_datagram = 16 * 1024;
+  // The others wait, so that a flood of datagrams does not keep the event loop from all else.
+  static constexpr std::size_t max_datagrams_per_turn = 128;
   event_log& events;
   metric_registry& metrics;
   asio::ip::udp::socket socket;
   const handler on_message;
   std::array<char, max_datagram> buffer{};
-  asio::ip::udp::endpoint from;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
