Frames that arrive together are handled in one turn of the event loop

Cause: the header and the body of each frame between the leader and its agents were read by a system call and a turn of the loop each. Now a read takes what is there, up to 16 KiB, and all complete frames in it are handled.

--- a/src/cell/tcp_link.cc
+++ b/src/cell/tcp_link.cc
@@ -10,7 +10,6 @@
 #include <array>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
-#include <asio/read.hpp>
 #include <asio/write.hpp>
 #include <utility>
 
@@ -21,6 +20,7 @@
 
 constexpr std::size_t header_bytes = 4;
 constexpr std::size_t max_frame_bytes = 16 << 20;
+constexpr std::size_t bytes_per_read = 16 << 10;
 // The connection is closed when this many bytes are queued for a peer that does not read.
 constexpr std::size_t max_queued_bytes = 32 << 20;
 // A connection is dead when sent bytes stay unacknowledged for this long (TCP_USER_TIMEOUT).
@@ -34,6 +34,16 @@
   out += frame;
 }
 
+// Returns the size in the header at `begin`, without the header.
+std::size_t frame_size(const std::string& bytes, std::size_t begin) {
+  constexpr unsigned byte_bits = 8;
+  std::size_t size = 0;
+  for (std::size_t i = 0; i < header_bytes; ++i) {
+    size = (size << byte_bits) | static_cast<unsigned char>(bytes[begin + i]);
+  }
+  return size;
+}
+
 }  // namespace
 
 struct tcp_link::state : std::enable_shared_from_this<tcp_link::state> {
@@ -42,8 +52,8 @@
 
   tcp::socket socket;
   frame_handlers on;
-  std::array<unsigned char, header_bytes> header{};
-  std::string body;
+  std::array<char, bytes_per_read> chunk{};
+  std::string unread;  // Received bytes of frames that are not handled yet.
   std::string queued;
   std::string in_flight;
   bool connected = false;
@@ -64,35 +74,38 @@
   }
 
   void read() {
-    asio::async_read(this->socket, asio::buffer(this->header),
-                     [s = this->shared_from_this()](asio::error_code error, std::size_t) {
-                       std::size_t size = 0;
-                       for (const unsigned char byte : s->header) {
-                         size = (size << 8U) | byte;
-                       }
-                       if (error || size > max_frame_bytes) {
-                         s->disconnected();
-                         return;
-                       }
-                       s->read_body(size);
-                     });
+    this->socket.async_read_some(
+        asio::buffer(this->chunk),
+        [s = this->shared_from_this()](asio::error_code error, std::size_t size) {
+          if (error) {
+            s->disconnected();
+            return;
+          }
+          s->unread.append(s->chunk.data(), size);
+          s->handle_frames();
+          if (!s->closed) {
+            s->read();
+          }
+        });
   }
 
-  void read_body(std::size_t size) {
-    this->body.resize(size);
-    asio::async_read(this->socket, asio::buffer(this->body),
-                     [s = this->shared_from_this()](asio::error_code error, std::size_t) {
-                       if (error) {
-                         s->disconnected();
-                         return;
-                       }
-                       if (!s->closed) {
-                         s->on.on_frame(std::move(s->body));
-                       }
-                       if (!s->closed) {
-                         s->read();
-                       }
-                     });
+  // Handles the frames that are complete. A busy peer sends many at once.
+  void handle_frames() {
+    std::size_t begin = 0;
+    while (!this->closed && this->unread.size() - begin >= header_bytes) {
+      const std::size_t size = frame_size(this->unread, begin);
+      if (size > max_frame_bytes) {
+        this->disconnected();
+        return;
+      }
+      if (this->unread.size() - begin - header_bytes < size) {
+        break;
+      }
+      std::string frame = this->unread.substr(begin + header_bytes, size);
+      begin += header_bytes + size;
+      this->on.on_frame(std::move(frame));
+    }
+    this->unread.erase(0, begin);
   }
 
   void write() {
