Collecting the steps of a round names no task that needs no name

Cause: for each task of each open job, running ones too, a round made the task's name, which copies the id of its job, to look whether an untracked run of it is somewhere; mostly there is none of any task.

--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -109,15 +109,9 @@
         if (waiting.query_only && !this->soon_ready(job, occurrence, index, now)) {
           continue;
         }
-        for (std::size_t t = 0; t < step.tasks.size(); ++t) {
-          const task_ref task{{id, number, index}, static_cast<std::int32_t>(t)};
-          if (step.tasks[t].phase == task_phase::waiting && !step.tasks[t].held &&
-              !this->state.runners.has_untracked_run(task)) {
-            waiting.tasks.push_back(static_cast<std::int32_t>(t));
-          }
-        }
-        const step_spec& shape = job.spec().steps[s];
         waiting.ref = {id, number, index};
+        waiting.tasks = this->tasks_to_place(waiting.ref, step);
+        const step_spec& shape = job.spec().steps[s];
         if (!this->add_ending_tasks(waiting, step, shape.gang)) {
           continue;
         }
@@ -141,6 +135,20 @@
   return out;
 }
 
+std::vector<std::int32_t> placer::tasks_to_place(const step_ref& ref, const live_step& step) const {
+  const bool any_untracked = this->state.runners.has_untracked_runs();
+  std::vector<std::int32_t> out;
+  for (std::size_t t = 0; t < step.tasks.size(); ++t) {
+    const auto index = static_cast<std::int32_t>(t);
+    const live_task& task = step.tasks[t];
+    if (task.phase == task_phase::waiting && !task.held &&
+        !(any_untracked && this->state.runners.has_untracked_run({ref, index}))) {
+      out.push_back(index);
+    }
+  }
+  return out;
+}
+
 bool placer::add_ending_tasks(waiting_step& waiting, const live_step& step, bool is_gang) const {
   const auto ending = this->ending_runs.find(waiting.ref);
   waiting.soon_waiting = ending != this->ending_runs.end() ? ending->second : 0;
--- a/src/decide/placer.h
+++ b/src/decide/placer.h
@@ -230,6 +230,8 @@
 
   // Returns the steps that are ready and those that will be soon, the most urgent first.
   std::vector<waiting_step> collect(instant now, std::int64_t wall_ms);
+  // Returns the step's tasks that wait and may start.
+  std::vector<std::int32_t> tasks_to_place(const step_ref& ref, const live_step& step) const;
   bool soon_ready(const live_job& job, const live_occurrence& occurrence, std::int32_t step,
                   instant now) const;
   // Counts the tasks, by step, whose runs will be given up while advice that is asked for now is
--- a/src/decide/runner_table.h
+++ b/src/decide/runner_table.h
@@ -130,6 +130,7 @@
   // True if an untracked run of the task is on some runner, so that starting the task
   // would run it twice.
   bool has_untracked_run(const task_ref& task) const { return this->untracked.contains(task); }
+  bool has_untracked_runs() const { return !this->untracked.empty(); }
   // Quarantines the runners whose runs have stalled.
   void quarantine_stalled(instant now);
   // Counts consecutive failed runs, to detect and quarantine a runner on which every run
