--- a/src/cell/leader_reports.cc
+++ b/src/cell/leader_reports.cc
@@ -33,23 +33,26 @@
   for (const auto& [name, total] : this->services.metrics.counts_of("bytes_")) {
     traffic[name] = total - std::exchange(this->bytes_reported[name], total);
   }
-  this->services.events.write("cell_load", {{"epoch", this->own_epoch.value},
-                                            {"open_jobs", this->state.jobs.size()},
-                                            {"waiting_tasks", this->waiting_tasks},
-                                            {"runners_taking_work", available},
-                                            {"wishes_without_daemon", this->undispatched_queries},
-                                            {"wishes_put_off", this->deferred_queries},
-                                            {"longest_wish_ms", this->longest_query_wait.value},
-                                            {"plan_ms", this->plan_duration.value},
-                                            {"rounds", this->plan_rounds},
-                                            {"planning_ms", this->planning_time.value},
-                                            {"steps_planned", this->planning.steps},
-                                            {"looked_at_to_place", this->planning.placing},
-                                            {"looked_at_to_reserve", this->planning.reserving},
-                                            {"looked_at_to_query", this->planning.querying},
-                                            {"ticks_ms", this->tick_time.value},
-                                            {"services", services_load},
-                                            {"traffic", traffic}});
+  this->services.events.write("cell_load",
+                              {{"epoch", this->own_epoch.value},
+                               {"open_jobs", this->state.jobs.size()},
+                               {"waiting_tasks", this->waiting_tasks},
+                               {"runners_taking_work", available},
+                               {"wishes_without_daemon", this->undispatched_queries},
+                               {"wishes_put_off", this->deferred_queries},
+                               {"advising_daemons", this->state.advising_daemons},
+                               {"advising_daemons_free", this->state.advice_left.daemons},
+                               {"longest_wish_ms", this->longest_query_wait.value},
+                               {"plan_ms", this->plan_duration.value},
+                               {"rounds", this->plan_rounds},
+                               {"planning_ms", this->planning_time.value},
+                               {"steps_planned", this->planning.steps},
+                               {"looked_at_to_place", this->planning.placing},
+                               {"looked_at_to_reserve", this->planning.reserving},
+                               {"looked_at_to_query", this->planning.querying},
+                               {"ticks_ms", this->tick_time.value},
+                               {"services", services_load},
+                               {"traffic", traffic}});
   this->plan_rounds = 0;
   this->planning = {};
   this->planning_time = millis{0};
