--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -34,6 +34,14 @@
 
 }  // namespace
 
+planning_work& planning_work::operator+=(const planning_work& other) {
+  this->steps += other.steps;
+  this->placing += other.placing;
+  this->reserving += other.reserving;
+  this->querying += other.querying;
+  return *this;
+}
+
 placer::placer(cell_state& cell, const placer_options& given) : state(cell), options(given) {}
 
 plan placer::decide(instant now, std::int64_t wall_ms) {
@@ -47,6 +55,8 @@
   this->deferred.clear();
   this->queried.clear();
   this->in_window.clear();
+  this->work = {};
+  this->planned = {};
   for (auto& [id, runner] : this->state.runners.all()) {
     if (!runner.listed && runner.allocations.empty()) {
       continue;  // Lost; some ids never come back.
@@ -62,6 +72,7 @@
   this->count_ending_runs(now);
   plan out;
   std::vector<waiting_step> steps = this->collect(now, wall_ms);
+  this->work.steps = static_cast<std::int64_t>(steps.size());
   for (waiting_step& step : steps) {
     if (step.query_only) {
       step.advice = &this->state.advice.entry_for(step.ref);
@@ -73,6 +84,7 @@
   }
   this->place_skipped_steps(now, out);
   this->query_out_of_turn(now, out);
+  out.work = this->work;
   return out;
 }
 
@@ -356,10 +368,9 @@
 
 bool placer::can_be_alone(const waiting_step& step) {
   std::size_t fits = 0;
-  for (const runner_state* runner : this->pools[step.pool.text].runners) {
-    const bool usable = runner->listed && !runner->entry.draining &&
-                        this->permitted(step, *runner) &&
-                        (step.advice == nullptr || step.advice->known_good(runner->entry.id));
+  for (const runner_state* runner : this->good_runners(step)) {
+    ++this->work.placing;
+    const bool usable = runner->listed && !runner->entry.draining && this->permitted(step, *runner);
     const bool lasts =
         std::any_of(runner->allocations.begin(), runner->allocations.end(), [](const auto& entry) {
           return entry.second.expected.value <= 0 && !entry.second.stopping;
@@ -369,6 +380,20 @@
   return fits >= (step.shape->gang ? step.tasks.size() : 1);
 }
 
+std::vector<runner_state*> placer::good_runners(const waiting_step& step) {
+  if (step.advice == nullptr) {
+    return this->pools[step.pool.text].runners;
+  }
+  std::vector<runner_state*> out;
+  for (const auto& [id, is_good] : step.advice->good) {
+    runner_state* const runner = is_good ? this->state.runners.find(id) : nullptr;
+    if (runner != nullptr && runner->entry.pool == step.pool) {
+      out.push_back(runner);
+    }
+  }
+  return out;
+}
+
 bool placer::may_take(const waiting_step& step, const runner_state& runner, instant now) const {
   if (!runner.takes_work(now) || !allocated_resources(*step.shape).fits(runner.free_capacity()) ||
       !this->permitted(step, runner) || !may_share(step, runner) ||
@@ -406,6 +431,7 @@
                                    const std::string& only_rack) {
   choice best;
   for (runner_state* runner : step.candidates) {
+    ++this->work.placing;
     if ((!only_rack.empty() && runner->entry.rack != only_rack) ||
         !this->may_take(step, *runner, now)) {
       continue;
--- a/src/decide/placer.h
+++ b/src/decide/placer.h
@@ -60,14 +60,26 @@
   millis query_wait{0};      // How long it has wanted one that was not sent.
 };
 
+// What a round costs: how many runners it has looked at, by what for.
+struct planning_work {
+  std::int64_t steps = 0;      // Steps that have tasks to place, or will have soon.
+  std::int64_t placing = 0;    // To find one for a task.
+  std::int64_t reserving = 0;  // To find one for a reservation.
+  std::int64_t querying = 0;   // To find one that an advice query names.
+
+  planning_work& operator+=(const planning_work& other);
+};
+
 struct plan {
   std::vector<placement> placements;
   std::vector<preemption> preemptions;
   std::vector<advice_query> advice_queries;
-  // Number of steps whose advice query was deferred by the bounds on queries per round.
+  // Number of steps whose advice query was deferred: by the bounds on queries per round, or since
+  // no daemon can take it now.
   std::int64_t deferred_queries = 0;
   millis longest_query_wait{0};  // Of the steps that want a query now.
   std::int64_t waiting_tasks = 0;
+  planning_work work;
   std::vector<waiting_reason> reasons;  // Of the first blocked steps of each pool.
 };
 
@@ -205,6 +217,12 @@
     std::size_t max_blocked = 0;          // The others are skipped.
     std::vector<waiting_step*> skipped;
     resources largest;  // Componentwise maximum of the runners' capacities.
+    // A runner with its free accelerators and processor time, in this order.
+    struct room {
+      runner_state* runner = nullptr;
+      std::pair<devices, millicores> free_capacity;
+    };
+    std::vector<room> by_room;  // See runners_by_room().
   };
 
   // Returns the steps that are ready and those that will be soon, the most urgent first.
@@ -227,6 +245,9 @@
   // Appends the step once for each degree of isolation that some of its tasks need.
   static void split_by_isolation(waiting_step step, const live_step& tasks,
                                  std::vector<waiting_step>& out);
+  // Returns the runners of the pool on which the step may start, as far as the advice service was
+  // asked; all of them if it needs no advice.
+  std::vector<runner_state*> good_runners(const waiting_step& step);
   // True if some runners of the pool hold no run that lasts, so that the step's tasks can be
   // alone there in time.
   bool can_be_alone(const waiting_step& step);
@@ -265,6 +286,9 @@
   // True if the runner is reserved for another step that would have to wait for this one.
   bool blocked_by_reservation(const waiting_step& step, const runner_state& runner,
                               instant now) const;
+  bool is_long_query(const waiting_step& step);
+  // True if some daemon can still take a query for the step, beside those planned so far.
+  bool daemon_can_take_query(const waiting_step& step);
   // Adds a query for the step, if it needs one and it is its turn.
   void query_advice(const waiting_step& step, instant now, plan& out);
   // A step that has waited too long for a query. `deferred`: null if the plan has the query.
@@ -293,13 +317,24 @@
   struct query_candidate {
     runner_state* runner = nullptr;
     double starts = 0;          // Expected number of tasks of the step that can start on it now.
-    bool asked = false;         // An earlier query of the step named it, and it is good.
     std::size_t tie_break = 0;  // Order among runners with free capacity; varies by step.
   };
 
   void find_candidates(waiting_step& step, instant now);
-  std::vector<query_candidate> query_candidates(const waiting_step& step, instant now,
-                                                double& startable);
+  // The runners that a query names so far.
+  struct query_choice {
+    std::vector<query_candidate> runners;
+    double starts = 0;  // Starts that the step can expect with them and with its tickets.
+    double needed = 0;  // Starts that it looks for.
+  };
+  bool may_query_about(const waiting_step& step, const runner_state& runner, instant now) const;
+  double starts_now(const waiting_step& step, const runner_state& runner, instant now) const;
+  static const std::vector<pool_round::room>& runners_by_room(pool_round& round);
+  std::vector<query_candidate> good_candidates(const waiting_step& step, instant now,
+                                               double& startable);
+  bool add_to_query(query_choice& choice, const query_candidate& candidate) const;
+  void add_unasked_with_room(const waiting_step& step, instant now, query_choice& choice);
+  bool add_unasked_without_room(const waiting_step& step, instant now, query_choice& choice);
   static bool precedes_in_query(const query_candidate& a, const query_candidate& b);
   std::vector<query_candidate> runners_to_query(const waiting_step& step, instant now);
   static std::size_t tasks_to_query_for(const waiting_step& step);
@@ -331,6 +366,13 @@
   std::set<step_ref> in_window;
   // By pool, the last step that place_skipped_steps() has tried.
   std::map<std::string, step_ref> last_tried;
+  // The queries planned in the current round.
+  struct planned_queries {
+    std::size_t long_ones = 0;
+    millis short_time{0};  // Expected duration of the short ones.
+  };
+  planned_queries planned;
+  planning_work work;               // Of the current round.
   std::int64_t sendable_bytes = 0;  // Of cell_state::sendable_bytes, what is left of it.
   std::map<step_ref, std::size_t> ending_runs;  // See count_ending_runs().
   struct reservation {
--- a/src/decide/placer_advice.cc
+++ b/src/decide/placer_advice.cc
@@ -95,7 +95,8 @@
   const double window = static_cast<double>(this->options.advice_window.value) *
                         static_cast<double>(this->state.advising_daemons);
   const std::size_t most = this->options.queries_per_daemon * this->state.advising_daemons;
-  if (use.time_ms + this->usual_query_ms(step) > window || use.queries >= most) {
+  if (use.time_ms + this->usual_query_ms(step) > window || use.queries >= most ||
+      !this->daemon_can_take_query(step)) {
     use.time_ms = window;
     step.advice->put_off(now);
     this->deferred.push_back(&step);
@@ -126,10 +127,27 @@
   return terms.per_call_ms + terms.per_runner_ms * static_cast<double>(named);
 }
 
+bool placer::is_long_query(const waiting_step& step) {
+  return this->usual_query_ms(step) > static_cast<double>(long_query_time.value);
+}
+
+// A query that no daemon can take would be planned anew in each round.
+bool placer::daemon_can_take_query(const waiting_step& step) {
+  const advice_capacity& left = this->state.advice_left;
+  if (this->is_long_query(step)) {
+    return this->planned.long_ones < left.daemons_for_long;
+  }
+  if (this->planned.long_ones >= left.daemons) {
+    return false;
+  }
+  const auto daemons_left = static_cast<std::int64_t>(left.daemons - this->planned.long_ones);
+  const millis usual{std::llround(this->usual_query_ms(step))};
+  return this->planned.short_time < left.backlog_left + usual * daemons_left;
+}
+
 placer::pool_round::advice_use& placer::advice_use_for(const waiting_step& step) {
   pool_round& round = this->pools[step.pool.text];
-  const bool is_long = this->usual_query_ms(step) > static_cast<double>(long_query_time.value);
-  return is_long ? round.long_queries : round.short_queries;
+  return this->is_long_query(step) ? round.long_queries : round.short_queries;
 }
 
 void placer::add_query(const waiting_step& step, bool only_with_room, instant now, plan& out) {
@@ -145,6 +163,9 @@
     return;
   }
   ++this->advice_use_for(step).queries;
+  const bool is_long = this->is_long_query(step);
+  this->planned.long_ones += is_long ? 1 : 0;
+  this->planned.short_time += millis{is_long ? 0 : std::llround(this->usual_query_ms(step))};
   this->queried.insert(step.ref);
   advice_query query{step.ref, *step.queue->advice, {}, step.pool};
   for (const query_candidate& each : chosen) {
@@ -198,90 +219,4 @@
   return static_cast<double>(fits);
 }
 
-// Returns the runners about which a query would give new information. Adds to `startable`
-// the number of starts that are possible now with tickets that stay valid.
-std::vector<placer::query_candidate> placer::query_candidates(const waiting_step& step, instant now,
-                                                              double& startable) {
-  const instant needed_until = now + this->time_to_renew(*step.queue->advice);
-  const double good_share = this->state.advice.good_share(step.queue->name);
-  const std::size_t salt = std::hash<std::string>{}(step.ref.text());
-  std::vector<query_candidate> out;
-  for (runner_state* runner : this->pools[step.pool.text].runners) {
-    const std::string& id = runner->entry.id;
-    const auto known = step.advice->good.find(id);
-    const bool asked = known != step.advice->good.end();
-    if ((asked && !known->second) || !runner->takes_work(now) ||
-        !step.shape->need.fits(runner->entry.capacity)) {
-      continue;
-    }
-    if (!this->may_ever_start(step, *runner)) {
-      continue;
-    }
-    const bool usable = this->permitted(step, *runner) && may_share(step, *runner) &&
-                        !this->blocked_by_reservation(step, *runner, now);
-    const double fit = usable ? this->starts_that_fit(step, *runner) : 0;
-    if (asked && step.advice->ticket_for(id, needed_until) != nullptr) {
-      startable += fit;
-      continue;
-    }
-    if (asked && fit <= 0 && step.kept == isolation::alone &&
-        this->fits_at(*runner, runner->entry.capacity, step, now) > needed_until) {
-      continue;  // It will not be empty before the ticket expires.
-    }
-    const std::size_t tie_break = std::hash<std::string>{}(id) * (2 * salt + 1);
-    out.push_back({runner, fit * (asked ? 1 : good_share), asked, tie_break});
-  }
-  return out;
-}
-
-// Runners with free capacity for the step come first: known good ones, then those that no
-// query has named yet. Runners without follow, since capacity may become free there: those
-// that no query has named yet, then known good ones, the emptiest first. Among the runners
-// with free capacity the order differs from step to step, since steps that query at the
-// same time would otherwise compete for the same runners.
-bool placer::precedes_in_query(const query_candidate& a, const query_candidate& b) {
-  const bool fits = a.starts > 0;
-  if (fits != (b.starts > 0)) {
-    return fits;
-  }
-  if (a.asked != b.asked) {
-    return fits ? a.asked : b.asked;
-  }
-  if (fits) {
-    return a.tie_break > b.tie_break;
-  }
-  return std::pair(a.runner->free_capacity().accelerators, a.runner->free_capacity().cpu) >
-         std::pair(b.runner->free_capacity().accelerators, b.runner->free_capacity().cpu);
-}
-
-// Returns as many runners as the step probably needs in addition to the starts that it has
-// tickets for. Only if the cell is too full for that, runners without free capacity are
-// added: those that no query has named yet or, if there are none, known good ones.
-std::vector<placer::query_candidate> placer::runners_to_query(const waiting_step& step,
-                                                              instant now) {
-  double starts = 0;
-  std::vector<query_candidate> candidates = this->query_candidates(step, now, starts);
-  const double needed = this->starts_needed(step);
-  if (starts >= needed) {
-    return {};
-  }
-  std::sort(candidates.begin(), candidates.end(), precedes_in_query);
-  std::vector<query_candidate> chosen;
-  bool unasked_without_capacity = false;
-  for (const query_candidate& o : candidates) {
-    const bool fits = o.starts > 0;
-    const std::size_t most =
-        fits ? this->options.free_runners_per_query : this->options.runners_per_query;
-    const bool enough =
-        starts >= needed && (!fits || chosen.size() >= this->options.min_runners_per_query);
-    if (enough || chosen.size() >= most || (!fits && o.asked && unasked_without_capacity)) {
-      break;
-    }
-    unasked_without_capacity = unasked_without_capacity || (!fits && !o.asked);
-    starts += o.starts;
-    chosen.push_back(o);
-  }
-  return chosen;
-}
-
 }  // namespace monsoonmux::cell
