Stalled runners are looked for four times a second, not at each tick

Cause: quarantine_stalled() walked every run of every runner at each tick, 20 times a second. Now check_stalled() looks at an interval of 250 ms, a quarter of the time that a quarantine lasts, so that the quarantine of a runner that remains stalled does not lapse in between; a stalled runner is noticed up to 250 ms later than before. Evidence: the new test counts the runs looked at in 20 ticks over 4 runs: 80 without the interval (the test fails: 20 are allowed, five looks within the time of a quarantine), 16 now. A second test sees the quarantine in force at each millisecond of 5 s.

--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -254,7 +254,7 @@
   this->note_ending_runs();
   this->acquit_tasks();
   this->judge_suspects();
-  this->state.runners.quarantine_stalled(this->services.time.now());
+  this->state.runners.check_stalled(this->services.time.now());
   this->tick_time += this->services.time.now() - begin;
   this->report_load();
   this->save_run_times();
--- a/src/decide/runner_table.cc
+++ b/src/decide/runner_table.cc
@@ -100,11 +100,13 @@
   count(*state, run, 1);
 }
 
-void runner_table::quarantine_stalled(instant now) {
+std::int64_t runner_table::quarantine_stalled(instant now) {
+  std::int64_t looked_at = 0;
   for (auto& [id, runner] : this->by_id) {
     std::int32_t overdue = 0;
     std::int32_t others = 0;
     for (const auto& [key, run] : runner.allocations) {
+      ++looked_at;
       // Best-effort work is slow by design while other runs are busy.
       if (run.expected.value <= 0 || !run.expected_is_learned || run.best_effort) {
         continue;
@@ -117,6 +119,15 @@
           std::max(runner.quarantined_until, now + this->options.stalled_quarantine_time);
     }
   }
+  return looked_at;
+}
+
+std::int64_t runner_table::check_stalled(instant now) {
+  if (now - this->stalled_checked < this->options.stalled_check_interval) {
+    return 0;
+  }
+  this->stalled_checked = now;
+  return this->quarantine_stalled(now);
 }
 
 void runner_table::record_run_outcome(const std::string& id, bool failed, instant now) {
--- a/src/decide/runner_table.h
+++ b/src/decide/runner_table.h
@@ -91,6 +91,9 @@
   std::int64_t overdue_factor = 3;
   std::int32_t overdue_runs = 2;
   millis stalled_quarantine_time{1'000};
+  // Between two looks for stalled runners. Well under stalled_quarantine_time, so that the
+  // quarantine of a runner that remains stalled does not lapse in between.
+  millis stalled_check_interval{250};
 };
 
 // All runners and the runs that may be on them. Capacity is allocated when a start is
@@ -123,8 +126,10 @@
   // True if an untracked run of the task is on some runner, so that starting the task
   // would run it twice.
   bool has_untracked_run(const task_ref& task) const { return this->untracked.contains(task); }
-  // Quarantines the runners whose runs have stalled.
-  void quarantine_stalled(instant now);
+  // Quarantines the runners whose runs have stalled. Returns the number of runs looked at.
+  std::int64_t quarantine_stalled(instant now);
+  // The same, unless the last look for stalled runners was less than stalled_check_interval ago.
+  std::int64_t check_stalled(instant now);
   // Counts consecutive failed runs, to detect and quarantine a runner on which every run
   // fails.
   void record_run_outcome(const std::string& id, bool failed, instant now);
@@ -135,6 +140,7 @@
   static void count(runner_state& state, const allocation& run, std::int32_t sign);
 
   std::unordered_map<std::string, runner_state> by_id;
+  instant stalled_checked{0};                  // When check_stalled() last looked.
   std::map<task_ref, std::int32_t> untracked;  // Number of untracked runs, by task.
 };
 
--- a/src/decide/testing/runner_table_test.cc
+++ b/src/decide/testing/runner_table_test.cc
@@ -63,6 +63,41 @@
   CHECK(lasting.takes_work(now));
 }
 
+constexpr millis tick{50};  // Of a leader.
+
+TEST_CASE("Looking for stalled runners does not walk all runs at each tick") {
+  runner_table table;
+  add_runner(table, "a");
+  constexpr std::int32_t runs = 4;
+  for (std::int32_t i = 0; i < runs; ++i) {
+    table.add("a", run(i, now, millis{1'000}));
+  }
+  std::int64_t looked_at = 0;
+  const millis quarantine = runner_table_options{}.stalled_quarantine_time;
+  for (millis passed{0}; passed < quarantine; passed += tick) {
+    looked_at += table.check_stalled(now + passed);
+  }
+  constexpr std::int64_t most_looks = 5;  // Within the time that a quarantine lasts.
+  CHECK(looked_at >= runs);
+  CHECK(looked_at <= most_looks * runs);
+}
+
+TEST_CASE("The quarantine of a runner that remains stalled does not lapse between two looks") {
+  runner_table table;
+  runner_state& still = add_runner(table, "still");
+  for (std::int32_t i = 0; i < 2; ++i) {
+    table.add("still", run(i, now - millis{10'000}, millis{1'000}));
+  }
+  table.check_stalled(now);
+  constexpr millis duration{5'000};
+  for (millis passed{0}; passed < duration; passed += millis{1}) {
+    CHECK_FALSE(still.takes_work(now + passed));
+    if (passed.value % tick.value == 0) {
+      table.check_stalled(now + passed);
+    }
+  }
+}
+
 // Submitters sometimes declare a tenth of the actual run time. A new leader that took the
 // declared for the expected time would quarantine most of its runners until it has learned
 // the actual times.
