A session that is announced asks neither for leases nor for the time to be announced

Cause: announce() read the clock and looked the runner up among those named in the renewals, and then found that the runner was announced already. It is called for each report, and for all sessions with each renewal of the claim. Now it looks at that first. Neither of the other two questions has an effect, so nothing is decided otherwise.

--- a/src/cell/runner_session_reports.cc
+++ b/src/cell/runner_session_reports.cc
@@ -38,8 +38,11 @@
 // Called last, so that all that the report shows is counted before any work is placed there.
 // The capacity and labels of an incarnation are known when its own entry has arrived.
 void runner_session::announce(std::int64_t reported) {
+  if (this->announced) {
+    return;
+  }
   const bool grants = this->leader.leases_until(this->id) > this->time.now();
-  if (this->announced || !grants) {
+  if (!grants) {
     return;
   }
   if (reported != this->entry.incarnation) {
--- a/src/cell/testing/fake_loop.h
+++ b/src/cell/testing/fake_loop.h
@@ -35,6 +35,23 @@
   std::map<std::pair<instant, std::uint64_t>, std::function<void()>> events;
 };
 
+// A clock that counts how often it is read.
+class counting_clock final : public clock {
+ public:
+  explicit counting_clock(const clock& time) : time(time) {}
+
+  instant now() const override {
+    ++this->reads;
+    return this->time.now();
+  }
+  std::int64_t wall_ms() const override { return this->time.wall_ms(); }
+
+  mutable std::int64_t reads = 0;  // Number of calls of now().
+
+ private:
+  const clock& time;
+};
+
 // The event loop of one process. Its events run in the shared loop until the process is
 // killed; while the process is frozen, they are delayed.
 class fake_process final : public event_loop {
