A tick passes over the sessions that have nothing to do

Cause: each tick, 20 times a second, read the clock and walked all runs of each session. Now a session knows before which time no start or stop has to be sent again, and the leader reads the clock once and ticks only the sessions that are due. is_due() may be told a time in the past, since all its conditions begin at a time: then the session is ticked one tick later. What is sent, and the leases, still go by the clock as it is when they are sent.

--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -249,7 +249,9 @@
     return;  // A successor may already rely on this leader sending no more commands.
   }
   for (auto& [id, session] : this->sessions) {
-    session->tick();
+    if (session->is_due(begin)) {
+      session->tick();
+    }
   }
   this->note_ending_runs();
   this->acquit_tasks();
--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -139,17 +139,28 @@
   this->leases_expire_at = std::max(this->leases_expire_at, now + expiry_time(lease));
 }
 
+bool runner_session::may_poll() const {
+  if (this->poll_in_flight) {
+    return false;
+  }
+  const bool poll_needed = !this->runs.empty() || !this->announced || this->has_unstored_ends();
+  return poll_needed && this->reachable();
+}
+
+bool runner_session::poll_due(instant now, bool acknowledge) const {
+  if (now < this->next_poll) {
+    return false;
+  }
+  const bool renewal_due = now - this->last_renewal >= renew_after;
+  return !this->has_unstored_ends() || !this->admitted || renewal_due || acknowledge;
+}
+
 void runner_session::poll(bool acknowledge) {
-  const bool poll_needed =
-      !this->runs.empty() || !this->announced || this->last_end_seen > this->stored_up_to;
-  if (this->poll_in_flight || !poll_needed || !this->reachable()) {
+  if (!this->may_poll()) {
     return;
   }
   const instant now = this->time.now();
-  const bool has_unstored_ends = this->last_end_seen > this->stored_up_to;
-  const bool renewal_due = now - this->last_renewal >= renew_after;
-  if (now < this->next_poll ||
-      (has_unstored_ends && this->admitted && !renewal_due && !acknowledge)) {
+  if (!this->poll_due(now, acknowledge)) {
     return;
   }
   poll_request request;
@@ -160,7 +171,7 @@
   const bool may_extend = this->admitted && !this->incarnation_uncertain && this->is_proven(now);
   const std::optional<millis> lease = may_extend ? this->next_lease(now) : std::nullopt;
   const bool may_wait =
-      lease && this->announced && !has_unstored_ends && !this->acknowledgement_due();
+      lease && this->announced && !this->has_unstored_ends() && !this->acknowledgement_due();
   request.wait = may_wait && !this->runs.empty() ? this->options.poll_wait : millis{0};
   if (lease) {
     request.lease_until_ms = this->grant(*lease, now);
@@ -217,12 +228,35 @@
   this->poll();
 }
 
+bool runner_session::awaits_repeat(const tracked_run& tracked) {
+  return tracked.stopping ? !tracked.stop_answered
+                          : tracked.attempts > 0 && tracked.answered_at == instant{0};
+}
+
+void runner_session::try_again_at(tracked_run& tracked, instant when) {
+  tracked.next_try = when;
+  this->next_command = std::min(this->next_command, when);
+}
+
+bool runner_session::is_due(instant now) const {
+  if (this->next_command <= now || (this->may_poll() && this->poll_due(now, false))) {
+    return true;
+  }
+  return !this->runs.empty() && this->leases_expire_at <= now && this->may_expire();
+}
+
 void runner_session::tick() {
   const instant now = this->time.now();
   std::vector<run_key> due;
+  this->next_command = never;
   for (const auto& [run, tracked] : this->runs) {
-    if (tracked.next_try <= now && (tracked.stopping || tracked.attempts > 0)) {
+    if (!awaits_repeat(tracked)) {
+      continue;
+    }
+    if (tracked.next_try <= now) {
       due.push_back(run);
+    } else {
+      this->next_command = std::min(this->next_command, tracked.next_try);
     }
   }
   for (const run_key& run : due) {
@@ -244,7 +278,7 @@
 }
 
 instant runner_session::runs_given_up_at() const {
-  return this->may_expire() && !this->runs.empty() ? this->leases_expire_at : never;
+  return !this->runs.empty() && this->may_expire() ? this->leases_expire_at : never;
 }
 
 void runner_session::close_expired() {
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -85,6 +85,8 @@
   void stop(const run_key& run);
   // Reports that the end with this number is in the log. Ends may be stored in any order.
   void end_stored(std::int64_t number);
+  // True if tick() would do something at `now`, which may lie a little in the past. Reads no clock.
+  bool is_due(instant now) const;
   void tick();
   // Leases may be granted again, or for longer.
   void leases_allowed();
@@ -121,9 +123,17 @@
     start_command command;
   };
 
+  // True if a start or stop of the run has to be sent again once its `next_try` has come.
+  static bool awaits_repeat(const tracked_run& tracked);
+  // Sends the command of the run again then, if none is answered before.
+  void try_again_at(tracked_run& tracked, instant when);
+  // False if a poll is in flight, or there is nothing to ask, or nobody.
+  bool may_poll() const;
+  bool poll_due(instant now, bool acknowledge) const;
   // `acknowledge`: also soon after the last poll, although ends are not in the log yet.
   void poll(bool acknowledge = false);
   void poll_answered(const poll_answer& answer, const poll_request& request, instant sent);
+  bool has_unstored_ends() const { return this->last_end_seen > this->stored_up_to; }
   // True if the runner may still list ends that are in the log.
   bool acknowledgement_due() const { return this->stored_up_to > this->acknowledged_up_to; }
   millis proof_age(instant now) const { return now - this->runner_time.alive_at(); }
@@ -214,6 +224,8 @@
   instant busy_since;       // When the first of the present runs was started or taken over.
   std::int32_t failed_polls = 0;
   std::map<run_key, tracked_run> runs;
+  // No start or stop has to be sent again before this.
+  instant next_command = never;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/cell/runner_session_commands.cc
+++ b/src/cell/runner_session_commands.cc
@@ -103,7 +103,7 @@
 
 void runner_session::retry_start(const run_key& run, tracked_run& tracked, std::string_view why) {
   if (tracked.attempts < this->options.max_start_attempts) {
-    tracked.next_try = this->time.now() + this->options.retry;
+    this->try_again_at(tracked, this->time.now() + this->options.retry);
     return;
   }
   this->start_refused(run, tracked, why);
@@ -133,7 +133,7 @@
 void runner_session::send_stop(const run_key& run) {
   tracked_run& tracked = this->runs.at(run);
   if (tracked.stop_in_flight || !this->reachable()) {
-    tracked.next_try = this->time.now() + this->options.retry;
+    this->try_again_at(tracked, this->time.now() + this->options.retry);
     return;
   }
   tracked.stop_in_flight = true;
@@ -166,7 +166,7 @@
     if (answer.status == command_status::fenced) {
       this->log_superseded("stop", run);
     }
-    it->second.next_try = this->time.now() + this->options.retry;
+    this->try_again_at(it->second, this->time.now() + this->options.retry);
   });
 }
 
--- a/src/cell/runner_session_reports.cc
+++ b/src/cell/runner_session_reports.cc
@@ -69,7 +69,7 @@
   for (auto& [run, tracked] : this->runs) {
     if (tracked.stopping) {
       tracked.stop_answered = false;
-      tracked.next_try = this->time.now();
+      this->try_again_at(tracked, this->time.now());
     }
   }
   this->last_end_seen = 0;
--- a/src/cell/testing/fake_cell.h
+++ b/src/cell/testing/fake_cell.h
@@ -109,6 +109,7 @@
           dialer(this->process, this->name, this->uplink, cell.frames,
                  [&cell](const std::string& to) { return cell.agent_host(to); }),
           events(log_descriptor(), cell.loop, this->name),
+          time(cell.loop),
           sources(cell.config, cell.runners) {}
 
     void boot(fake_cell& cell) {
@@ -126,7 +127,7 @@
           std::make_unique<cell_daemon>(this->process,
                                         daemon_ports{this->log, this->commands, this->dialer,
                                                      this->advice, this->peers, this->sources},
-                                        cell.loop, this->events, this->metrics, options);
+                                        this->time, this->events, this->metrics, options);
       this->daemon->start();
     }
     void kill() {
@@ -147,6 +148,7 @@
     const domain_id domain;
     fake_dialer dialer;
     event_log events;
+    counting_clock time;  // Of the daemon.
     fake_sources sources;
     metric_registry metrics;
     std::unique_ptr<cell_daemon> daemon;
