Only runners whose runs may be given up are looked up at each tick

Cause: note_ending_runs() looked each runner up by its id at each tick, to note for nearly all of them what had been noted before: that their runs are not given up. Now the runners noted last are set back, and only those out of contact are looked up. What the placer reads is the same. There is no test of the number of lookups, as nothing counts them; the noted times are as before, so no test of behaviour is red on the former code.

--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "async/event_log.h"
 #include "async/metric_registry.h"
@@ -259,6 +260,7 @@
   std::map<std::string, std::unique_ptr<runner_session>> sessions;
   inherited_leases inherited;
   lease_ledger leases;
+  std::vector<std::string> with_ending_runs;  // The runners that note_ending_runs() noted last.
   instant load_reported{0};
   instant waiting_reported{0};
   std::int64_t saved_version = 0;  // Version of the run-time estimates in the log.
--- a/src/cell/leader_leases.cc
+++ b/src/cell/leader_leases.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "cell/leader.h"
 
@@ -58,9 +59,19 @@
 }
 
 void leader::note_ending_runs() {
+  for (const std::string& id : std::exchange(this->with_ending_runs, {})) {
+    if (runner_state* const runner = this->state.runners.find(id)) {
+      runner->runs_given_up_at = never;
+    }
+  }
   for (const auto& [id, session] : this->sessions) {
+    const instant given_up_at = session->runs_given_up_at();
+    if (given_up_at == never) {
+      continue;
+    }
     if (runner_state* const runner = this->state.runners.find(id)) {
-      runner->runs_given_up_at = session->runs_given_up_at();
+      runner->runs_given_up_at = given_up_at;
+      this->with_ending_runs.push_back(id);
     }
   }
 }
