A daemon does not decode a progress record that it has already applied

Cause: a leader applies each of its records when it is in the log, and reads it from the log afterwards. The second time, it decoded all tasks of the job, and only then saw by the offset that the record was applied, or is older than one that was. Now the offset is compared first. A record that is older and cannot be decoded is not reported any more by a daemon that has a newer one of its job; what the table holds is the same. Evidence: the new test applies bytes that cannot be decoded at old offsets: they were decoded before (the test fails), now not.

--- a/src/decide/job_table.cc
+++ b/src/decide/job_table.cc
@@ -105,13 +105,16 @@
 
 job_table_change job_table::apply_progress(const job_id& job, const std::string& value,
                                            std::int64_t offset) {
+  const job_record* const known = this->find(job);
+  if (known != nullptr && offset <= known->progress_offset) {
+    return job_table_change::nothing;  // Not decoded: a leader meets each of its records twice.
+  }
   auto progress = decode_progress(value);
   if (!progress) {
     return job_table_change::unreadable;
   }
   job_record& entry = this->records[job];
-  const bool older_epoch = entry.progress && progress->leader_epoch < entry.progress->leader_epoch;
-  if (older_epoch || offset <= entry.progress_offset) {
+  if (entry.progress && progress->leader_epoch < entry.progress->leader_epoch) {
     return job_table_change::nothing;
   }
   entry.progress_offset = offset;
--- a/src/decide/testing/job_table_test.cc
+++ b/src/decide/testing/job_table_test.cc
@@ -98,6 +98,18 @@
   CHECK(table.find(job_id("a"))->phase() == job_phase::completed);
 }
 
+TEST_CASE("A progress record that is older than the one applied is not decoded") {
+  job_table table;
+  constexpr std::int64_t newest = 7;
+  table.apply(progress_of("a", 1, job_phase::running), newest);
+  // Decoding this would show that it is unreadable.
+  const keyed_record not_decodable{key_of(record_kind::progress, job_id("a")), "not a record"};
+  CHECK(table.apply(not_decodable, newest) == job_table_change::nothing);
+  CHECK(table.apply(not_decodable, newest - 1) == job_table_change::nothing);
+  CHECK(table.apply(not_decodable, newest + 1) == job_table_change::unreadable);
+  CHECK(table.find(job_id("a"))->phase() == job_phase::running);
+}
+
 TEST_CASE("The phase that the leader reported is shown until the log is newer") {
   job_table table;
   table.set_leader_phase(job_id("a"), job_phase::queued);
