The end of a run looks at its own task only, unless it is a gang's

Cause: superseded_by() walked all tasks of the step at each end, and passed over all but one unless the step is a gang. Now it looks at that one, or at all of a gang, in the same order as before. The tests of superseded runs in live_job_test pass before and after; none is red on the former code, as nothing counts the tasks looked at.

--- a/src/decide/live_job.cc
+++ b/src/decide/live_job.cc
@@ -297,12 +297,14 @@
 
 std::vector<superseded_run> live_job::superseded_by(const task_ref& task, std::int32_t run,
                                                     const live_step& step, const step_spec& shape) {
+  // Of a gang all members are concerned, otherwise only the task itself.
+  const std::int32_t first = shape.gang ? 0 : task.index;
+  const std::int32_t last =
+      shape.gang ? static_cast<std::int32_t>(step.tasks.size()) : task.index + 1;
   std::vector<superseded_run> out;
-  for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-    const live_task& member = step.tasks[i];
-    const auto index = static_cast<std::int32_t>(i);
-    const bool concerned = shape.gang || index == task.index;
-    if (concerned && member.phase == task_phase::placed && member.run > run) {
+  for (std::int32_t index = first; index < last; ++index) {
+    const live_task& member = step.tasks[static_cast<std::size_t>(index)];
+    if (member.phase == task_phase::placed && member.run > run) {
       out.push_back({member.runner, {task.in, index}, member.run});
     }
   }
