A runner's report is handed on without a copy

Cause: agent_pool::settle() owns the decoded answer, and copied the report with all its texts into the call of the handler. Now the report is moved there. There is no test of the number of copies, as nothing counts them.

--- a/src/cell/agent_pool.cc
+++ b/src/cell/agent_pool.cc
@@ -224,8 +224,12 @@
   this->pending.erase(it);
   if (const auto* const response = std::get_if<command_answer>(&answer.answer)) {
     this->answer(command, *response);
-  } else {
-    this->answer(command, std::get<poll_answer>(answer.answer));
+    return;
+  }
+  poll_answer& polled = std::get<poll_answer>(answer.answer);
+  this->record_status(command, polled.status);
+  if (command.on_poll_answer) {
+    command.on_poll_answer(std::move(polled));
   }
 }
 
