--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -249,12 +249,14 @@
     return;  // A successor may already rely on this leader sending no more commands.
   }
   for (auto& [id, session] : this->sessions) {
-    session->tick();
+    if (session->is_due(begin)) {
+      session->tick();
+    }
   }
   this->note_ending_runs();
   this->acquit_tasks();
   this->judge_suspects();
-  this->state.runners.quarantine_stalled(this->services.time.now());
+  this->state.runners.check_stalled(this->services.time.now());
   this->tick_time += this->services.time.now() - begin;
   this->report_load();
   this->save_run_times();
--- a/src/cell/tcp_link.cc
+++ b/src/cell/tcp_link.cc
@@ -1,6 +1,6 @@
-// Frames sent while a write is in progress are coalesced into the next write, so a busy link
-// makes few system calls. Handlers that are still in the event loop share ownership of the
-// state, so destroying the link only closes the state.
+// Frames sent while a write is in progress are coalesced into the next write, and one read takes
+// all frames that have arrived, so a busy link makes few system calls. Handlers that are still in
+// the event loop share ownership of the state, so destroying the link only closes the state.
 
 #include "cell/tcp_link.h"
 
@@ -11,6 +11,7 @@
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
+#include <string_view>
 #include <utility>
 
 namespace monsoonmux::cell {
@@ -20,26 +21,27 @@
 
 constexpr std::size_t header_bytes = 4;
 constexpr std::size_t max_frame_bytes = 16 << 20;
+// Most bytes that one read takes; most frames are far smaller.
 constexpr std::size_t bytes_per_read = 16 << 10;
 // The connection is closed when this many bytes are queued for a peer that does not read.
 constexpr std::size_t max_queued_bytes = 32 << 20;
 // A connection is dead when sent bytes stay unacknowledged for this long (TCP_USER_TIMEOUT).
 constexpr unsigned user_timeout_ms = 1'500;
 
+constexpr unsigned byte_bits = 8;
+
 void append_frame(std::string& out, const std::string& frame) {
-  constexpr unsigned byte_bits = 8;
   for (std::size_t i = header_bytes; i-- > 0;) {
     out.push_back(static_cast<char>((frame.size() >> (byte_bits * i)) & 0xffU));
   }
   out += frame;
 }
 
-// Returns the size in the header at `begin`, without the header.
-std::size_t frame_size(const std::string& bytes, std::size_t begin) {
-  constexpr unsigned byte_bits = 8;
+// The size of the frame whose header `bytes` begin with.
+std::size_t frame_size(std::string_view bytes) {
   std::size_t size = 0;
-  for (std::size_t i = 0; i < header_bytes; ++i) {
-    size = (size << byte_bits) | static_cast<unsigned char>(bytes[begin + i]);
+  for (const char byte : bytes.substr(0, header_bytes)) {
+    size = (size << byte_bits) | static_cast<unsigned char>(byte);
   }
   return size;
 }
@@ -52,8 +54,8 @@
 
   tcp::socket socket;
   frame_handlers on;
-  std::array<char, bytes_per_read> chunk{};
-  std::string unread;  // Received bytes of frames that are not handled yet.
+  std::array<char, bytes_per_read> incoming{};
+  std::string unhandled;  // Received, but not a complete frame yet.
   std::string queued;
   std::string in_flight;
   bool connected = false;
@@ -75,37 +77,37 @@
 
   void read() {
     this->socket.async_read_some(
-        asio::buffer(this->chunk),
+        asio::buffer(this->incoming),
         [s = this->shared_from_this()](asio::error_code error, std::size_t size) {
           if (error) {
             s->disconnected();
             return;
           }
-          s->unread.append(s->chunk.data(), size);
-          s->handle_frames();
+          s->unhandled.append(s->incoming.data(), size);
+          s->hand_on_frames();
           if (!s->closed) {
             s->read();
           }
         });
   }
 
-  // Handles the frames that are complete. A busy peer sends many at once.
-  void handle_frames() {
-    std::size_t begin = 0;
-    while (!this->closed && this->unread.size() - begin >= header_bytes) {
-      const std::size_t size = frame_size(this->unread, begin);
+  // Hands on the frames that have arrived completely. Their handler may close the link.
+  void hand_on_frames() {
+    std::size_t at = 0;
+    while (!this->closed && this->unhandled.size() - at >= header_bytes) {
+      const std::size_t size = frame_size(std::string_view(this->unhandled).substr(at));
       if (size > max_frame_bytes) {
         this->disconnected();
         return;
       }
-      if (this->unread.size() - begin - header_bytes < size) {
+      if (this->unhandled.size() - at - header_bytes < size) {
         break;
       }
-      std::string frame = this->unread.substr(begin + header_bytes, size);
-      begin += header_bytes + size;
+      std::string frame = this->unhandled.substr(at + header_bytes, size);
+      at += header_bytes + size;
       this->on.on_frame(std::move(frame));
     }
-    this->unread.erase(0, begin);
+    this->unhandled.erase(0, at);
   }
 
   void write() {
