Runs in a failure domain that is cut off are not counted as crashes

What callers saw: during a zone_cut of 6 s the leader's log had 689 crash_under_task with `listed` false, and 106 crash_disproved when it healed, though no runner had crashed. Such counts isolate innocent tasks and may end their jobs.

A lapsed lease counted as a crash if the runner was out of a list that had been followed for 3 s. A cut hides all runners of a domain from the list and from the leader, so that the list is complete and yet tells nothing of them. The leader that counted takes a count back when the runner answers, so without a takeover it was cost; a successor did not take it back, so the counts added up over takeovers until the job was given up.

Now the absence of a runner counts by the time for which its failure domain can be seen: another runner of it is listed and in contact (domain_sight). A domain that went missing together is judged 3 s after one of its runners is back. An only runner, or one that goes missing with no other of its domain within 10 s, counts by the list alone, as before. A task is held up to 15 s while its runner's domain cannot be seen, as while the list is not followed. A successor knows the domains of runners that it has not read yet from the log (runner_contacts), before it adopts their runs.

--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -153,6 +153,7 @@
   runner_session& session = this->session_of(entry.id);
   session.update(entry);
   this->state.runners.find(entry.id)->admitted = session.is_announced();
+  this->domains.note(entry.id, entry.domain, session.is_announced(), this->services.time.now());
 }
 
 void leader::runner_unlisted(const std::string& id) {
@@ -163,16 +164,19 @@
   if (it != this->sessions.end()) {
     it->second->unlist();
   }
+  this->note_presence(id);
 }
 
 void leader::runner_entry_unreadable(const std::string& id) {
   this->state.runners.mark_unreadable(id);
+  this->note_presence(id);
 }
 
 void leader::runner_admitted(const std::string& id) {
   if (runner_state* const runner = this->state.runners.find(id)) {
     runner->admitted = true;
   }
+  this->note_presence(id);
   this->disprove_suspects(id);
   this->check_capacity(id);
   this->request_plan();
@@ -182,6 +186,13 @@
   if (runner_state* const runner = this->state.runners.find(id)) {
     runner->admitted = false;
   }
+  this->note_presence(id);
+}
+
+void leader::note_presence(const std::string& id) {
+  const runner_state* const runner = this->state.runners.find(id);
+  const bool present = runner != nullptr && runner->listed && runner->admitted;
+  this->domains.note(id, present, this->services.time.now());
 }
 
 void leader::checkpoint_reported(const std::string&, const run_key& run,
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -20,6 +20,7 @@
 #include "cell/runner_contacts.h"
 #include "cell/runner_session.h"
 #include "decide/crash_suspects.h"
+#include "decide/domain_sight.h"
 #include "decide/job_table.h"
 #include "decide/median_clock.h"
 #include "decide/placer.h"
@@ -186,6 +187,11 @@
   run_outcome outcome_of_loss(const std::string& runner, const run_key& run, std::string_view why);
   // For how long the discovery list has been followed without a gap.
   millis list_followed_for() const;
+  // The same while the failure domain of the runner could be seen, as the list tells nothing of one
+  // that is cut off.
+  followed_time followed_for(const std::string& runner) const;
+  // Notes whether the runner is listed and answers.
+  void note_presence(const std::string& runner);
   // The present run of the task as one under which its runner may have crashed.
   suspected_run suspect_of(const run_key& run, const live_task& task) const;
   // Notes how long the run had lasted, and logs the crash and whether the task is given up for it.
@@ -253,6 +259,7 @@
   command_gate gate;  // Between the sessions and the agents.
   closed_runs closed;
   crash_suspects suspects;
+  domain_sight domains;
   instant suspects_judged{0};
   timer plan_timer;
   timer ticker;
--- a/src/cell/leader_crashes.cc
+++ b/src/cell/leader_crashes.cc
@@ -83,7 +83,7 @@
   if (known != nullptr && (known->listed || known->unreadable)) {
     return {};
   }
-  const followed_time followed = this->on.runners_followed();
+  const followed_time followed = this->followed_for(runner);
   const instant unlisted_since = known != nullptr ? known->unlisted_since : followed.since;
   return {followed.length(), followed.length_since(unlisted_since)};
 }
@@ -141,6 +141,12 @@
   return this->on.runners_followed().length();
 }
 
+followed_time leader::followed_for(const std::string& runner) const {
+  const followed_time list = this->on.runners_followed();
+  const instant begin = std::max(list.since, this->domains.seen_since(runner));
+  return {begin, std::max(begin, list.until)};
+}
+
 void leader::crash_counted(const std::string& runner, const suspected_run& crashed, live_task& task,
                            const end_effect& effect) {
   task.time_to_crash = std::max(task.time_to_crash, crashed.ran_for);
@@ -220,7 +226,8 @@
       this->suspects.drop(absent->runner, absent->suspect.run);  // There is nothing to take back.
     }
   }
-  for (const suspected_run& each : this->suspects.release(now, this->list_followed_for())) {
+  const auto followed = [this](const std::string& id) { return this->followed_for(id).length(); };
+  for (const suspected_run& each : this->suspects.release(now, followed)) {
     this->settle_suspicion(each.run);
   }
 }
--- a/src/cell/leader_takeover.cc
+++ b/src/cell/leader_takeover.cc
@@ -16,6 +16,10 @@
     this->state.run_times.restore(*table.run_times());
   }
   const instant now = this->services.time.now();
+  this->contacts.inherit(table.contacts());
+  for (const auto& [id, contact] : this->contacts.known()) {
+    this->domains.note(id, contact.domain, false, now);
+  }
   for (const auto& [id, record] : table.jobs()) {
     // Another daemon may have accepted the job, so its age follows only from the time of
     // day at which it was accepted.
@@ -28,7 +32,6 @@
                                             {"leases_ms", (this->inherited.until - now).value},
                                             {"bounded_runners", this->inherited.by_runner.size()}});
   this->update_attempts_when_current();
-  this->contacts.inherit(table.contacts());
   this->contact_unlisted_runners();
   this->tick();
 }
--- a/src/cell/testing/outage_cell.h
+++ b/src/cell/testing/outage_cell.h
@@ -18,8 +18,9 @@
   static constexpr millis outage{7'000};
   static constexpr millis leader_lost_after{4'000};
 
-  outage_cell(std::uint32_t seed, const daemon_options& options, int runner_count)
-      : cell(4, runner_count, seed, options), registrar(cell, seed) {
+  outage_cell(std::uint32_t seed, const daemon_options& options, int runner_count,
+              int domain_count = 1)
+      : cell(4, runner_count, seed, options, domain_count), registrar(cell, seed) {
     constexpr millis settle_time{4'000};
     this->cell.loop.run_for(settle_time + millis{seed * 170});
     REQUIRE(this->cell.leader() >= 0);
@@ -80,6 +81,20 @@
     runner.partitioned.clear();
   }
 
+  // A cut around a failure domain hides its runners from the store and from all daemons outside.
+  void cut_off(const domain_id& domain) {
+    this->cell.cut_off(domain);
+    for (const auto& runner : this->cell.runners) {
+      if (runner->entry.domain == domain) {
+        this->registrar.hidden.insert(runner->entry.id);
+      }
+    }
+  }
+  void end_cut() {
+    this->cell.end_cut();
+    this->registrar.hidden.clear();
+  }
+
   bool is_over(const std::string& job) {
     const auto phase = this->cell.phase(job);
     return phase && is_final(*phase);
@@ -122,11 +137,13 @@
 
 // Plays it directly and through agents.
 inline void play_outages(std::uint32_t seeds, int runner_count,
-                         const std::function<void(outage_cell&, std::uint32_t seed)>& play) {
+                         const std::function<void(outage_cell&, std::uint32_t seed)>& play,
+                         int domain_count = 1) {
   for (const bool agents : {false, true}) {
     for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
       INFO("seed " << seed << ", agents " << agents);
-      outage_cell f(seed, agents ? through_agents() : fake_cell::short_leases(), runner_count);
+      outage_cell f(seed, agents ? through_agents() : fake_cell::short_leases(), runner_count,
+                    domain_count);
       play(f, seed);
     }
   }
--- a/src/decide/crash_suspects.cc
+++ b/src/decide/crash_suspects.cc
@@ -76,14 +76,18 @@
   this->take(runner, [&run](const suspected_run& each) { return each.run == run; });
 }
 
-std::vector<suspected_run> crash_suspects::release(instant now, millis list_followed) {
+std::vector<suspected_run> crash_suspects::release(
+    instant now, const std::function<millis(const std::string&)>& list_followed) {
   std::vector<suspected_run> out;
   for (auto& [runner, suspects] : this->by_runner) {
     for (suspected_run& each : suspects) {
+      if (!each.held) {
+        continue;
+      }
       const millis age = now - each.lost_at;
-      const bool over = std::min(age, list_followed) >= this->options.longest_hold ||
+      const bool over = std::min(age, list_followed(runner)) >= this->options.longest_hold ||
                         age >= this->options.longest_hold_without_list;
-      if (each.held && over) {
+      if (over) {
         each.held = false;
         out.push_back(each);
       }
--- a/src/decide/crash_suspects.h
+++ b/src/decide/crash_suspects.h
@@ -32,7 +32,7 @@
 };
 
 // How long a runner has been missing from the discovery list, by what was seen of the list without
-// a gap. Both are 0 while it is there.
+// a gap while its failure domain could be seen (domain_sight). Both are 0 while it is there.
 struct runner_absence {
   millis list_followed{0};  // The runner may have been there for a part of this time.
   millis missing{0};
@@ -89,7 +89,9 @@
   // The run is no suspect any more, whatever its runner does.
   void drop(const std::string& runner, const run_key& run);
   // Returns the runs whose tasks are held no longer, and drops the oldest suspicions.
-  std::vector<suspected_run> release(instant now, millis list_followed);
+  // `list_followed`: for how long the list was followed that tells of the runner.
+  std::vector<suspected_run> release(
+      instant now, const std::function<millis(const std::string&)>& list_followed);
 
  private:
   std::vector<suspected_run> take(const std::string& runner,
--- a/src/decide/testing/crash_suspects_test.cc
+++ b/src/decide/testing/crash_suspects_test.cc
@@ -27,6 +27,10 @@
   return missing_for(time, time);
 }
 
+std::function<millis(const std::string&)> followed_for(millis time) {
+  return [=](const std::string&) { return time; };
+}
+
 // Counts all runs whose runners are gone.
 std::vector<runner_suspect> count_absent(
     crash_suspects& suspects, const std::function<runner_absence(const std::string&)>& absence_of,
@@ -78,7 +82,7 @@
   constexpr millis longest_hold{9'500};
   crash_suspects suspects;
   suspects.add(runner, suspect(0, true));
-  REQUIRE(suspects.release(now + longest_hold, longest_hold).size() == 1);
+  REQUIRE(suspects.release(now + longest_hold, followed_for(longest_hold)).size() == 1);
   const auto ends_job = [](const suspected_run&) { return true; };
   CHECK(count_absent(suspects, missing_for(settled - millis{1}, settled), ends_job).empty());
   CHECK(count_absent(suspects, missing_for(settled, settled), ends_job).size() == 1);
@@ -144,15 +148,15 @@
     count_absent(suspects, missing_for(settled));
   }
   SECTION("over") {
-    CHECK(suspects.release(now + longest_hold - millis{1}, longest_hold).empty());
+    CHECK(suspects.release(now + longest_hold - millis{1}, followed_for(longest_hold)).empty());
     // The list has to be followed for as long.
-    CHECK(suspects.release(now + longest_hold, longest_hold - millis{1}).empty());
-    CHECK(suspects.release(now + longest_hold, longest_hold).size() == 1);
+    CHECK(suspects.release(now + longest_hold, followed_for(longest_hold - millis{1})).empty());
+    CHECK(suspects.release(now + longest_hold, followed_for(longest_hold)).size() == 1);
   }
   SECTION("over although the list is not followed") {
     constexpr millis without_list{15'000};
-    CHECK(suspects.release(now + without_list - millis{1}, millis{0}).empty());
-    CHECK(suspects.release(now + without_list, millis{0}).size() == 1);
+    CHECK(suspects.release(now + without_list - millis{1}, followed_for(millis{0})).empty());
+    CHECK(suspects.release(now + without_list, followed_for(millis{0})).size() == 1);
   }
   CHECK_FALSE(suspects.holds(run_of(0).task));
 }
@@ -161,9 +165,9 @@
   constexpr millis longest_suspicion{60'000};
   crash_suspects suspects;
   suspects.add(runner, suspect(0));
-  suspects.release(now + longest_suspicion - millis{1}, settled);
+  suspects.release(now + longest_suspicion - millis{1}, followed_for(settled));
   CHECK(suspects.uncounted(run_of(0).task) == 1);
-  suspects.release(now + longest_suspicion, settled);
+  suspects.release(now + longest_suspicion, followed_for(settled));
   CHECK(suspects.uncounted(run_of(0).task) == 0);
 }
 
