Revert: queries that no daemon can take are planned again; a busy leader's delay is not its daemons' failure

What the dispatcher says of its daemons stays, for cell_load, with its test.

In the dispatcher: a tick after a long turn of the loop expired queries whose answers waited in the socket, and their daemons got no queries for 2 s. Now a query expires at the second tick that finds it overdue; between two ticks the loop reads what has arrived.

--- a/src/cell/advice_dispatcher.cc
+++ b/src/cell/advice_dispatcher.cc
@@ -150,10 +150,14 @@
 void advice_dispatcher::tick() {
   const instant now = this->time.now();
   std::vector<std::int64_t> expired;
-  for (const auto& [number, q] : this->pending) {
-    if (q.deadline <= now) {
+  for (auto& [number, q] : this->pending) {
+    if (q.deadline > now) {
+      continue;
+    }
+    if (q.overdue) {
       expired.push_back(number);
     }
+    q.overdue = true;
   }
   for (const std::int64_t number : expired) {
     const pending_query& q = this->pending.at(number);
--- a/src/cell/advice_dispatcher.h
+++ b/src/cell/advice_dispatcher.h
@@ -32,6 +32,15 @@
   millis penalty{2'000};      // A daemon that did not answer gets no queries for this long.
 };
 
+// Which advice queries the daemons can take now. A daemon takes another one while the expected
+// durations of those that it has, its backlog, are below a bound.
+struct advice_capacity {
+  std::size_t daemons = 0;           // That can take any query.
+  std::size_t daemons_for_long = 0;  // That can take a long one: some are kept free for short ones.
+  // What is left of the bounds of their backlogs, in total. The last query of each may exceed it.
+  millis backlog_left{0};
+};
+
 // Spreads the leader's advice queries over all daemons, since the advice service
 // serializes the calls of each host.
 class advice_dispatcher {
@@ -66,6 +75,9 @@
     std::string peer;
     millis expected;
     instant deadline;
+    // A tick found the deadline passed. The answer may have arrived in a long turn of the event
+    // loop, so the query expires at the next tick.
+    bool overdue = false;
   };
 
   bool is_available(const std::string& id, const peer& p, instant now) const;
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -321,7 +321,6 @@
   const std::int64_t wall_ms = this->wall_ms();
   this->open_due(now, wall_ms);
   this->state.advising_daemons = this->dispatcher.daemons();
-  this->state.advice_left = this->dispatcher.capacity();
   this->state.sendable_bytes = this->agents.sendable_bytes() - this->unsent_start_bytes;
   const plan decided = this->planner.decide(now, wall_ms);
   this->planning += decided.work;
--- a/src/cell/leader_reports.cc
+++ b/src/cell/leader_reports.cc
@@ -41,7 +41,7 @@
                                {"wishes_without_daemon", this->undispatched_queries},
                                {"wishes_put_off", this->deferred_queries},
                                {"advising_daemons", this->state.advising_daemons},
-                               {"advising_daemons_free", this->state.advice_left.daemons},
+                               {"advising_daemons_free", this->dispatcher.capacity().daemons},
                                {"longest_wish_ms", this->longest_query_wait.value},
                                {"plan_ms", this->plan_duration.value},
                                {"rounds", this->plan_rounds},
--- a/src/decide/cell_state.h
+++ b/src/decide/cell_state.h
@@ -15,16 +15,6 @@
 
 namespace monsoonmux::cell {
 
-// Which advice queries the daemons can take now. A daemon takes another one while the expected
-// durations of those that it has, its backlog, are below a bound.
-struct advice_capacity {
-  std::size_t daemons = std::numeric_limits<std::int32_t>::max();  // That can take any query.
-  // That can take a long one: some are kept free for short ones.
-  std::size_t daemons_for_long = std::numeric_limits<std::int32_t>::max();
-  // What is left of the bounds of their backlogs, in total. The last query of each may exceed it.
-  millis backlog_left{std::numeric_limits<std::int32_t>::max()};
-};
-
 // The state that the leader's scheduling decisions are made from.
 struct cell_state {
   cell_config config;
@@ -35,7 +25,6 @@
   advice_cache advice{runner_names};
   // Number of daemons that query the advice service, each one query at a time.
   std::size_t advising_daemons = 8;
-  advice_capacity advice_left;  // Of them.
   run_time_estimator run_times;
   // Bytes of start commands that the leader's link can carry before the next round.
   std::int64_t sendable_bytes = std::numeric_limits<std::int64_t>::max();
--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -56,7 +56,6 @@
   this->queried.clear();
   this->in_window.clear();
   this->work = {};
-  this->planned = {};
   this->by_number.assign(this->state.runner_names->size(), {});
   for (auto& [id, runner] : this->state.runners.all()) {
     if (!runner.listed && runner.allocations.empty()) {
--- a/src/decide/placer.h
+++ b/src/decide/placer.h
@@ -74,8 +74,7 @@
   std::vector<placement> placements;
   std::vector<preemption> preemptions;
   std::vector<advice_query> advice_queries;
-  // Number of steps whose advice query was deferred: by the bounds on queries per round, or since
-  // no daemon can take it now.
+  // Number of steps whose advice query was deferred by the bounds on queries per round.
   std::int64_t deferred_queries = 0;
   millis longest_query_wait{0};  // Of the steps that want a query now.
   std::int64_t waiting_tasks = 0;
@@ -293,9 +292,6 @@
   // True if the runner is reserved for another step that would have to wait for this one.
   bool blocked_by_reservation(const waiting_step& step, const runner_state& runner,
                               instant now) const;
-  bool is_long_query(const waiting_step& step);
-  // True if some daemon can still take a query for the step, beside those planned so far.
-  bool daemon_can_take_query(const waiting_step& step);
   // Adds a query for the step, if it needs one and it is its turn.
   void query_advice(const waiting_step& step, instant now, plan& out);
   // A step that has waited too long for a query. `deferred`: null if the plan has the query.
@@ -379,12 +375,6 @@
   std::set<step_ref> in_window;
   // By pool, the last step that place_skipped_steps() has tried.
   std::map<std::string, step_ref> last_tried;
-  // The queries planned in the current round.
-  struct planned_queries {
-    std::size_t long_ones = 0;
-    millis short_time{0};  // Expected duration of the short ones.
-  };
-  planned_queries planned;
   planning_work work;               // Of the current round.
   std::int64_t sendable_bytes = 0;  // Of cell_state::sendable_bytes, what is left of it.
   std::map<step_ref, std::size_t> ending_runs;  // See count_ending_runs().
--- a/src/decide/placer_advice.cc
+++ b/src/decide/placer_advice.cc
@@ -95,8 +95,7 @@
   const double window = static_cast<double>(this->options.advice_window.value) *
                         static_cast<double>(this->state.advising_daemons);
   const std::size_t most = this->options.queries_per_daemon * this->state.advising_daemons;
-  if (use.time_ms + this->usual_query_ms(step) > window || use.queries >= most ||
-      !this->daemon_can_take_query(step)) {
+  if (use.time_ms + this->usual_query_ms(step) > window || use.queries >= most) {
     use.time_ms = window;
     step.advice->put_off(now);
     this->deferred.push_back(&step);
@@ -126,26 +125,9 @@
   return terms.per_call_ms + terms.per_runner_ms * static_cast<double>(named);
 }
 
-bool placer::is_long_query(const waiting_step& step) {
-  return this->usual_query_ms(step) > static_cast<double>(long_query_time.value);
-}
-
-// A query that no daemon can take would be planned anew in each round.
-bool placer::daemon_can_take_query(const waiting_step& step) {
-  const advice_capacity& left = this->state.advice_left;
-  if (this->is_long_query(step)) {
-    return this->planned.long_ones < left.daemons_for_long;
-  }
-  if (this->planned.long_ones >= left.daemons) {
-    return false;
-  }
-  const auto daemons_left = static_cast<std::int64_t>(left.daemons - this->planned.long_ones);
-  const millis usual{std::llround(this->usual_query_ms(step))};
-  return this->planned.short_time < left.backlog_left + usual * daemons_left;
-}
-
 placer::pool_round::advice_use& placer::advice_use_for(const waiting_step& step) {
-  return this->is_long_query(step) ? step.round->long_queries : step.round->short_queries;
+  const bool is_long = this->usual_query_ms(step) > static_cast<double>(long_query_time.value);
+  return is_long ? step.round->long_queries : step.round->short_queries;
 }
 
 void placer::add_query(const waiting_step& step, bool only_with_room, instant now, plan& out) {
@@ -161,9 +143,6 @@
     return;
   }
   ++this->advice_use_for(step).queries;
-  const bool is_long = this->is_long_query(step);
-  this->planned.long_ones += is_long ? 1 : 0;
-  this->planned.short_time += millis{is_long ? 0 : std::llround(this->usual_query_ms(step))};
   this->queried.insert(step.ref);
   advice_query query{step.ref, *step.queue->advice, {}, step.pool};
   for (const query_candidate& each : chosen) {
--- a/src/decide/placer_query_choice.cc
+++ b/src/decide/placer_query_choice.cc
@@ -1,6 +1,7 @@
 // Chooses the runners that an advice query names. Many steps want a query in the same round, and a
 // pool has hundreds of runners, so the choice stops as soon as enough are found: what a step costs
-// here grows with the runners that its queries have named, not with its pool.
+// here grows with the runners that its queries have named, and not with its pool unless few of that
+// are of the step's kind.
 
 #include <algorithm>
 #include <utility>
@@ -123,7 +124,7 @@
                            [&least](const auto& entry) { return entry.free_capacity >= least; });
   const auto count = static_cast<std::size_t>(end - by_room.begin());
   const double good_share = this->state.advice.good_share(step.queue->name);
-  const std::size_t first = hash_of(step.ref);
+  const std::size_t first = count > 0 ? hash_of(step.ref) % count : 0;
   for (std::size_t i = 0; i < count; ++i) {
     ++this->work.querying;
     runner_state* const runner = by_room[(first + i * index_stride) % count].runner;
