--- a/src/cell/tcp_link.cc
+++ b/src/cell/tcp_link.cc
@@ -22,7 +22,7 @@
 constexpr std::size_t header_bytes = 4;
 constexpr std::size_t max_frame_bytes = 16 << 20;
 // Most bytes that one read takes; most frames are far smaller.
-constexpr std::size_t bytes_per_read = 16 << 10;
+constexpr std::size_t bytes_per_read = 64 << 10;
 // The connection is closed when this many bytes are queued for a peer that does not read.
 constexpr std::size_t max_queued_bytes = 32 << 20;
 // A connection is dead when sent bytes stay unacknowledged for this long (TCP_USER_TIMEOUT).
@@ -108,6 +108,9 @@
       this->on.on_frame(std::move(frame));
     }
     this->unhandled.erase(0, at);
+    if (this->unhandled.empty()) {
+      std::string().swap(this->unhandled);  // A large frame needs its memory only once.
+    }
   }
 
   void write() {
