A successor does not blame lasting tasks that have run for long

Cause: the record did not tell when a run began, so a successor took its takeover for the beginning.

Now the job's progress names the runs of lasting tasks that have lasted for 30 s (lasted_runs: ranges of tasks under one run number, 20 bytes each). The leader looks for new ones every 5 s and writes the job's record once for them. The field is behind all that earlier builds read, which ignore it; records without it are read as before.

Weighed: the time of day of each placement in the record: no write more, but more bytes for each start, and a clock that jumps would acquit a task that crashes its runners.

Open: a run of 30 to 35 s may not be named yet.

--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -264,6 +264,7 @@
   }
   this->note_ending_runs();
   this->acquit_tasks();
+  this->note_lasted_runs();
   this->judge_suspects();
   this->state.runners.quarantine_stalled(this->services.time.now());
   this->tick_time += this->services.time.now() - begin;
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -183,6 +183,8 @@
                   const std::string& checkpoint);
   // The task of the run, if the run may be why its runner crashed; null otherwise.
   const live_task* possible_cause(const run_key& run) const;
+  // Notes the lasting runs that have lasted for long, in the log too, for successors.
+  void note_lasted_runs();
   // What the loss of a run means for its task.
   run_outcome outcome_of_loss(const std::string& runner, const run_key& run, std::string_view why);
   // For how long the discovery list has been followed without a gap.
@@ -261,6 +263,7 @@
   crash_suspects suspects;
   domain_sight domains;
   instant suspects_judged{0};
+  instant lasted_runs_noted{0};
   timer plan_timer;
   timer ticker;
   std::map<std::string, std::unique_ptr<runner_session>> sessions;
--- a/src/cell/leader_crashes.cc
+++ b/src/cell/leader_crashes.cc
@@ -18,6 +18,8 @@
 // A task that has run for this much longer than its crashes took to come is not their cause.
 constexpr millis acquittal_margin{500};
 constexpr millis judging_interval{500};
+// A run may be noted so much later than it has become harmless.
+constexpr millis lasting_interval{5'000};
 
 }  // namespace
 
@@ -29,7 +31,21 @@
   }
   const step_spec& shape = it->second.spec().steps[static_cast<std::size_t>(run.task.in.step)];
   const millis age = this->services.time.now() - task->placed_at;
-  return shape.long_running && age > harmless_after ? nullptr : task;
+  const bool harmless = shape.long_running && (task->lasted || age > harmless_after);
+  return harmless ? nullptr : task;
+}
+
+void leader::note_lasted_runs() {
+  const instant now = this->services.time.now();
+  if (now - this->lasted_runs_noted < lasting_interval) {
+    return;
+  }
+  this->lasted_runs_noted = now;
+  for (auto& [id, job] : this->state.jobs) {
+    if (job.note_lasted_runs(now, harmless_after)) {
+      this->writer.write(id);
+    }
+  }
 }
 
 run_outcome leader::outcome_of_loss(const std::string& runner, const run_key& run,
--- a/src/cell/testing/uncaused_crash_test.cc
+++ b/src/cell/testing/uncaused_crash_test.cc
@@ -186,8 +186,7 @@
   });
 }
 
-TEST_CASE("A lasting task that has run for a minute is not blamed after a change of the leader",
-          "[.][known-red]") {
+TEST_CASE("A lasting task that has run for a minute is not blamed after a change of the leader") {
   for_all_seeds([](crash_fixture& f) {
     f.submit(lasting_job(1));
     constexpr millis minute{60'000};
--- a/src/decide/live_job.cc
+++ b/src/decide/live_job.cc
@@ -98,6 +98,7 @@
     this->open_occurrences.emplace(saved.number, std::move(occurrence));
   }
   this->restore_gang_crashes(progress->gang_crashes);
+  this->restore_lasted_runs(progress->lasted);
 }
 
 live_occurrence live_job::new_occurrence() const {
@@ -157,6 +158,7 @@
   t.runner_incarnation = runner_incarnation;
   t.placed_at = now;
   t.inherited = false;
+  t.lasted = false;
   t.alone = false;
   t.acquitted = false;
   t.suspected = false;
@@ -378,6 +380,7 @@
   out.first_unfinished = this->first_unfinished;
   out.max_attempts = this->max_attempts;
   out.gang_crashes = this->counted_gang_crashes();
+  out.lasted = this->all_lasted_runs();
   for (const auto& [number, occurrence] : this->open_occurrences) {
     occurrence_progress saved;
     saved.number = number;
--- a/src/decide/live_job.h
+++ b/src/decide/live_job.h
@@ -52,6 +52,9 @@
   instant placed_at;  // If inherited: when the current leader took the task over.
   // Placed by a previous leader, so it is unknown for how long the run has been running.
   bool inherited = false;
+  // The present run of a lasting task has lasted for so long that it is not the cause when its
+  // runner crashes, by what this leader or an earlier one has seen.
+  bool lasted = false;
   bool resumed = false;  // The run began from a checkpoint of an earlier one.
 };
 
@@ -136,6 +139,9 @@
   // The runner of a run that counts as a crash turns out not to have crashed. Returns true if the
   // count is lower now.
   bool disprove_crash(const task_ref& task, std::int32_t run);
+  // Notes which runs of lasting tasks have lasted for `enough`. Returns true if that is new for
+  // one, so that it should be recorded.
+  bool note_lasted_runs(instant now, millis enough);
   // The task has run for longer than its crashes took to come, so it is not their cause: its run
   // is not kept from others any more. A lasting task's crashes are forgotten; for others they still
   // count, as the number of their starts is bounded.
@@ -163,6 +169,8 @@
   static void count_crash(live_step& step, const step_spec& shape, live_task& task,
                           std::int32_t run);
   std::vector<counted_gang_crash> counted_gang_crashes() const;
+  std::vector<lasted_runs> all_lasted_runs() const;
+  void restore_lasted_runs(const std::vector<lasted_runs>& lasted);
   void restore_gang_crashes(const std::vector<counted_gang_crash>& counted);
   // Gives the job up if too many runners have crashed under the task.
   void apply_crash_bound(const live_task& task, bool was_alone, end_effect& effect);
--- a/src/model/cell_record.cc
+++ b/src/model/cell_record.cc
@@ -32,7 +32,8 @@
   return out.str();
 }
 
-// `read_rest` reads what follows the record's usual fields, if anything does.
+// `read_rest` reads what follows the record's usual fields, if anything does. It is given a
+// function that tells whether anything is left.
 template <class Record, class ReadRest>
 std::optional<Record> decode_record(const std::string& bytes, ReadRest read_rest) {
   if (bytes.empty() || bytes.front() != format_version) {
@@ -43,8 +44,9 @@
     cereal::BinaryInputArchive archive(in);
     Record value;
     archive(value);
-    if (in.peek() != std::istringstream::traits_type::eof()) {
-      read_rest(archive, value);
+    const auto is_more = [&in] { return in.peek() != std::istringstream::traits_type::eof(); };
+    if (is_more()) {
+      read_rest(archive, value, is_more);
     }
     return value;
   } catch (const std::exception&) {
@@ -56,7 +58,7 @@
 
 template <class Record>
 std::optional<Record> decode_record(const std::string& bytes) {
-  return decode_record<Record>(bytes, [](auto&, Record&) {});
+  return decode_record<Record>(bytes, [](auto&, Record&, const auto&) {});
 }
 
 }  // namespace
@@ -113,6 +115,9 @@
 }
 std::string encode(const job_progress& value) {
   const std::string bytes = encode_record(value);
+  if (!value.lasted.empty()) {
+    return bytes + archived(value.max_attempts, value.gang_crashes, value.lasted);
+  }
   const bool usual = value.max_attempts == 0 && value.gang_crashes.empty();
   return usual ? bytes : bytes + archived(value.max_attempts, value.gang_crashes);
 }
@@ -130,14 +135,19 @@
 }
 
 std::optional<job_submission> decode_submission(const std::string& bytes) {
-  return decode_record<job_submission>(bytes, [](auto& archive, job_submission& value) {
-    archive(value.max_attempts, value.accepted_under);
-  });
+  return decode_record<job_submission>(bytes,
+                                       [](auto& archive, job_submission& value, const auto&) {
+                                         archive(value.max_attempts, value.accepted_under);
+                                       });
 }
 std::optional<job_progress> decode_progress(const std::string& bytes) {
-  return decode_record<job_progress>(bytes, [](auto& archive, job_progress& value) {
-    archive(value.max_attempts, value.gang_crashes);
-  });
+  return decode_record<job_progress>(bytes,
+                                     [](auto& archive, job_progress& value, const auto& is_more) {
+                                       archive(value.max_attempts, value.gang_crashes);
+                                       if (is_more()) {
+                                         archive(value.lasted);
+                                       }
+                                     });
 }
 std::optional<run_time_stats> decode_run_time_stats(const std::string& bytes) {
   return decode_record<run_time_stats>(bytes);
--- a/src/model/cell_record.h
+++ b/src/model/cell_record.h
@@ -95,6 +95,21 @@
   }
 };
 
+// Runs of neighbouring tasks of a lasting step, under one run number, that have lasted for so long
+// that they are not the cause when their runners crash.
+struct lasted_runs {
+  std::int32_t occurrence = 0;
+  std::int32_t step = 0;
+  std::int32_t first = 0;  // Index of the first task.
+  std::int32_t count = 0;
+  std::int32_t run = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->occurrence, this->step, this->first, this->count, this->run);
+  }
+};
+
 enum class job_phase : std::uint8_t { queued, running, completed, failed, cancelled };
 
 inline bool is_final(job_phase phase) {
@@ -113,8 +128,10 @@
   // In force when the record was written, since the queue may be removed later; 0: not recorded.
   std::int32_t max_attempts = 0;
   std::vector<counted_gang_crash> gang_crashes;
+  std::vector<lasted_runs> lasted;
 
-  // Without the last two, which are encoded behind the others only if one of them is set.
+  // Without the last three, which are encoded behind the others only if one of them is set, and the
+  // last one behind the other two only if it is. Earlier builds do not read what they do not know.
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->leader_epoch, this->phase, this->ever_started, this->first_unfinished,
--- a/src/model/testing/record_bytes_test.cc
+++ b/src/model/testing/record_bytes_test.cc
@@ -169,6 +169,24 @@
   CHECK_FALSE(decode_progress(bytes.substr(0, bytes.size() - 1)).has_value());
 }
 
+TEST_CASE("Runs that have lasted are written behind all that earlier builds read") {
+  job_progress value = full_progress();
+  value.gang_crashes = {{2, 1, 4}};
+  const std::string earlier = encode(value);
+  CHECK(decode_progress(earlier)->lasted.empty());
+  value.lasted = {{2, 0, 3, 5, 7}};
+  const std::string bytes = encode(value);
+  CHECK(bytes.substr(0, earlier.size()) == earlier);
+  const auto read = decode_progress(bytes);
+  REQUIRE(read.has_value());
+  CHECK(read->gang_crashes.size() == 1);
+  REQUIRE(read->lasted.size() == 1);
+  CHECK(read->lasted[0].first == 3);
+  CHECK(read->lasted[0].count == 5);
+  CHECK(read->lasted[0].run == 7);
+  CHECK_FALSE(decode_progress(bytes.substr(0, bytes.size() - 1)).has_value());
+}
+
 TEST_CASE("Run-time statistics have the bytes that the first format wrote") {
   CHECK(to_hex(encode(full_times())) == times_bytes);
   const auto read = decode_run_time_stats(from_hex(times_bytes));
