--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -266,6 +266,7 @@
   }
   this->note_ending_runs();
   this->acquit_tasks();
+  this->note_lasted_runs();
   this->judge_suspects();
   this->state.runners.check_stalled(this->services.time.now());
   this->tick_time += this->services.time.now() - begin;
