--- a/src/cell/testing/record_forwarder_test.cc
+++ b/src/cell/testing/record_forwarder_test.cc
@@ -119,8 +119,13 @@
   // The first query occupies this daemon's own advice calls, so the next goes to the peer.
   const auto ask = [&](advice_dispatcher& dispatcher, const std::string& job) {
     dispatcher.on_hello("peer", {"peer", 1});
-    dispatcher.ask({{job_id(job), 0, 0}, advice_config{500, 0, millis{2'000}}, {"r"}});
-    dispatcher.ask({{job_id(job), 0, 1}, advice_config{500, 0, millis{2'000}}, {"r"}});
+    advice_query query;
+    query.terms = advice_config{500, 0, millis{2'000}};
+    query.runners = {"r"};
+    for (const std::int32_t step : {0, 1}) {
+      query.step = {job_id(job), 0, step};
+      dispatcher.ask(query);
+    }
   };
   advice_dispatcher previous(link, calls, loop, events, daemon_id("a"), deliver);
   ask(previous, "x");
