wire_test and agent_test listen on ports of their own

wire_test failed once in 1 of 1 runs beside cell_test: 'cannot listen on 127.0.0.1:17433: Address already in use'. It listened on fixed ports, in the middle of those that agent_test takes by its process id (17,391 to 21,390). Now both take theirs by the process id, from ranges of their own; so two runs of the tests on one machine do not meet either.

--- a/src/cell/testing/agent_test.cc
+++ b/src/cell/testing/agent_test.cc
@@ -218,7 +218,7 @@
 // The agent pool of a leader and an agent in one event loop, over a real connection.
 struct tcp_pair {
   // Test programs that run at the same time use ports of their own.
-  static inline const auto agent_port = static_cast<std::uint16_t>(17'391 + ::getpid() % 4'000);
+  static inline const auto agent_port = static_cast<std::uint16_t>(18'000 + ::getpid() % 2'000);
   asio::io_context io{1};
   asio_loop loop{io};
   system_clock time;
--- a/src/wire/testing/wire_test.cc
+++ b/src/wire/testing/wire_test.cc
@@ -1,3 +1,5 @@
+#include <unistd.h>
+
 #include <asio.hpp>
 #include <atomic>
 #include <catch2/catch.hpp>
@@ -11,6 +13,11 @@
 namespace monsoonmux {
 namespace {
 
+// Test programs that run at the same time use ports of their own; this one uses four.
+int first_port() {
+  return 20'000 + 4 * (::getpid() % 1'000);
+}
+
 peer_message sample(std::int64_t sequence) {
   heartbeat body;
   body.domain = domain_id("d");
@@ -60,8 +67,8 @@
   sealer seals_b("secret");
   logical_clock logical;
   std::promise<std::string> got;
-  const endpoint at_a{"127.0.0.1", 17'431};
-  const endpoint at_b{"127.0.0.1", 17'432};
+  const endpoint at_a{"127.0.0.1", first_port()};
+  const endpoint at_b{"127.0.0.1", first_port() + 1};
   peer_link a(
       at_a, daemon_id("a"), 1, seals_a, logical, [](const peer_message&) {},
       [](const peer_message&) { return peer_body(heartbeat{}); });
@@ -76,7 +83,8 @@
   b.start();
   asio::io_context io;
   asio::ip::udp::socket junk(io, asio::ip::udp::v4());
-  junk.send_to(asio::buffer(std::string(100, 'x')), {asio::ip::make_address("127.0.0.1"), 17'432});
+  junk.send_to(asio::buffer(std::string(100, 'x')),
+               {asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(at_b.port)});
   a.send(at_b, heartbeat{});
   CHECK(got.get_future().get() == "a");
   CHECK(b.dropped() == 1);
@@ -97,8 +105,8 @@
   sealer seals_a("secret");
   sealer seals_b("secret");
   logical_clock logical;
-  const endpoint at_a{"127.0.0.1", 17'433};
-  const endpoint at_b{"127.0.0.1", 17'434};
+  const endpoint at_a{"127.0.0.1", first_port() + 2};
+  const endpoint at_b{"127.0.0.1", first_port() + 3};
   const auto no_answer = [](const peer_message&) { return peer_body(heartbeat{}); };
   std::atomic<bool> started = false;
   std::promise<bool> delivered_after_start;
