--- a/src/decide/advice_cache.cc
+++ b/src/decide/advice_cache.cc
@@ -62,6 +62,7 @@
   step_advice& advice = this->steps[step];
   advice.query_pending = false;
   std::vector<named_runner> named;
+  named.reserve(asked.size() + tickets.size());
   for (const std::string& runner : asked) {
     named.push_back({this->numbers->of(runner), nullptr});
   }
--- a/src/decide/placer_reservations.cc
+++ b/src/decide/placer_reservations.cc
@@ -105,6 +105,7 @@
   // runners for that, counts as many tasks per runner as an empty one can hold.
   const resources each = allocated_resources(*step.shape);
   std::vector<share> one_per_runner;
+  one_per_runner.reserve(usable.size());
   for (runner_state* runner : usable) {
     one_per_runner.push_back({runner, each, this->fits_at(*runner, each, step, now)});
   }
