--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -398,13 +398,17 @@
       continue;
     }
     // The append may have taken long: the ticket may have expired, or a newer one arrived.
-    const std::string ticket = this->state.advice.ticket_for(p.task.in, p.runner, now);
-    if (!p.ticket.empty() && ticket.empty()) {
+    const held_ticket ticket = this->state.advice.ticket_for(p.task.in, p.runner, now);
+    if (!p.ticket.empty() && ticket.text.empty()) {
       this->run_lost(p.runner, run, "ticket_expired_before_start");
       continue;
     }
     this->services.metrics.count("starts_sent");
-    this->session_of(p.runner).start(run, it->second.spec().payload, ticket, p.checkpoint);
+    const instant refused_after = ticket.text.empty() ? never : ticket.until + ticket_transit_time;
+    const bool lasts =
+        it->second.spec().steps[static_cast<std::size_t>(p.task.in.step)].long_running;
+    this->session_of(p.runner).start(run, it->second.spec().payload, {ticket.text, refused_after},
+                                     p.checkpoint, lasts);
   }
 }
 
--- a/src/cell/leader_takeover.cc
+++ b/src/cell/leader_takeover.cc
@@ -107,7 +107,7 @@
   this->state.runners.add(
       t.runner, make_allocation(this->state, job, task, t.run, this->services.time.now()));
   this->state.teams.add(team, shape.need);
-  this->session_of(t.runner).recover({task, t.run}, t.runner_incarnation);
+  this->session_of(t.runner).recover({task, t.run}, t.runner_incarnation, shape.long_running);
 }
 
 // A run that the session stops counts like any other until its end is known: against its
--- /dev/null
+++ b/src/cell/lease_expiry.cc
@@ -0,0 +1,92 @@
+#include "cell/lease_expiry.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "cell/clock_drift.h"
+
+namespace monsoonmux::cell {
+namespace {
+
+// Allows for a command that the runner was executing when the end of its lease passed.
+constexpr millis expiry_margin{300};
+
+millis expiry_time(millis lease) {
+  return longest_real_time(lease) + expiry_margin;
+}
+
+}  // namespace
+
+std::int64_t lease_expiry::sent(const lease_grant& grant) {
+  const std::int64_t number = this->next_number++;
+  this->open.emplace(number, open_grant{grant});
+  this->reckon();
+  return number;
+}
+
+void lease_expiry::answered(std::int64_t number) {
+  const auto it = this->open.find(number);
+  if (it == this->open.end()) {
+    return;
+  }
+  const lease_grant grant = it->second.grant;
+  this->late -= it->second.late ? 1 : 0;
+  this->open.erase(it);
+  this->extend(grant.lease, grant.sent);
+}
+
+void lease_expiry::unanswered(std::int64_t number) {
+  const auto it = this->open.find(number);
+  if (it == this->open.end() || it->second.late) {
+    return;
+  }
+  it->second.late = true;
+  ++this->late;
+  this->reckon();
+}
+
+void lease_expiry::fenced(instant now) {
+  for (auto it = this->open.begin(); it != this->open.end();) {
+    if (!it->second.late) {
+      ++it;
+      continue;
+    }
+    this->settled = std::max(this->settled, now + expiry_time(it->second.grant.lease));
+    it = this->open.erase(it);
+  }
+  this->late = 0;
+  this->reckon();
+}
+
+void lease_expiry::extend(millis lease, instant now) {
+  this->settled = std::max(this->settled, now + expiry_time(lease));
+  this->reckon();
+}
+
+// Each late command may be executed just before the leases end that the others gave. The one that
+// may be executed last extends them furthest, so it counts last.
+void lease_expiry::reckon() {
+  this->latest = this->settled;
+  this->latest_in_time = this->settled;
+  std::vector<lease_grant> late_grants;
+  for (const auto& [number, each] : this->open) {
+    const instant in_time = each.grant.sent + expiry_time(each.grant.lease);
+    this->latest_in_time = std::max(this->latest_in_time, in_time);
+    if (each.late) {
+      late_grants.push_back(each.grant);
+    } else {
+      this->latest = std::max(this->latest, in_time);
+    }
+  }
+  std::sort(late_grants.begin(), late_grants.end(), [](const lease_grant& a, const lease_grant& b) {
+    return a.executed_by < b.executed_by;
+  });
+  for (const lease_grant& grant : late_grants) {
+    const instant executed =
+        grant.begins_run ? grant.executed_by : std::min(grant.executed_by, this->latest);
+    this->latest =
+        std::max(this->latest, std::max(executed, grant.sent) + expiry_time(grant.lease));
+  }
+}
+
+}  // namespace monsoonmux::cell
--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -8,25 +8,21 @@
 namespace monsoonmux::cell {
 namespace {
 
-// Allows for a command that the runner was executing when the end of its lease passed.
-constexpr millis expiry_margin{300};
 // Assumption: a runner that restarts needs at least this long from its last answer until a
 // run has ended there. The ends of a restarted runner are numbered from the beginning, so it
 // must not receive an acknowledgement meant for its previous incarnation later than that. A
 // poll that acknowledges does not wait for ends, since it might wait at the next incarnation.
 constexpr millis shortest_restart_and_run{600};
-// A lease is renewed at the latest this long after the last poll that renewed it.
+// While ends are not in the log yet, a lease is renewed this long after the last renewal.
 constexpr millis renew_after{1'500};
+// A poll that does not wait renews the lease unless that was done within this time.
+constexpr millis renew_early{500};
 // No lease lasts longer than this after the last time at which the runner is known to have run:
 // starts alone must not keep the leases of a runner alive that answers nothing.
 constexpr millis lease_after_proof{8'300};
 // A runner that has not answered for so long since the takeover counts as out of contact.
 constexpr millis first_contact_time{500};
 
-millis expiry_time(millis lease) {
-  return longest_real_time(lease) + expiry_margin;
-}
-
 }  // namespace
 
 runner_session::runner_session(runner_port& commands, const clock& now, event_log& out,
@@ -40,8 +36,8 @@
       options(given),
       created(now.now()),
       tokens(leader_epoch),
-      leases_expire_at(inherited_until),
-      last_renewal(now.now()),
+      leases(inherited_until),
+      last_renewal(now.now() - renew_early),
       busy_since(now.now()) {}
 
 runner_session::~runner_session() {
@@ -79,9 +75,10 @@
   this->poll();
 }
 
-void runner_session::recover(const run_key& run, std::int64_t placed_on) {
+void runner_session::recover(const run_key& run, std::int64_t placed_on, bool lasts) {
   tracked_run& tracked = this->runs[run];
   tracked.recovered = true;
+  tracked.lasts = lasts;
   tracked.placed_on = placed_on;
 }
 
@@ -93,18 +90,40 @@
   return lease > millis{0} ? std::optional(lease) : std::nullopt;
 }
 
-std::int64_t runner_session::grant(millis lease, instant now) {
-  this->extend_expiry(lease, now);
+std::int64_t runner_session::end_of_lease(millis lease, instant now) const {
   return this->runner_time.at_least(now) + lease.value;
 }
 
+// A command without an answer may be executed seconds later, when the leases that it extends
+// should be over. Once the runner has executed one with a later token, it refuses that.
+void runner_session::settle_grant(std::int64_t grant, command_status status) {
+  if (grant == no_grant) {
+    return;
+  }
+  if (status != command_status::unknown) {
+    this->leases.answered(grant);
+    return;
+  }
+  this->leases.unanswered(grant);
+  this->tokens.raise();
+  this->events.write(
+      "lease_may_come_late",
+      {{"runner", this->id}, {"leases_ms", (this->leases.end() - this->time.now()).value}});
+}
+
+void runner_session::note_fence() {
+  if (this->leases.has_late_grants()) {
+    this->leases.fenced(this->time.now());
+  }
+}
+
 bool runner_session::out_of_contact() const {
   if (this->runs.empty()) {
     return false;
   }
   const bool waits_for_first =
       !this->admitted && this->time.now() - this->created >= first_contact_time;
-  return this->failed_polls > 0 || waits_for_first;
+  return this->failed_polls > 0 || waits_for_first || this->leases.has_late_grants();
 }
 
 void runner_session::leases_allowed() {
@@ -120,7 +139,7 @@
     return;
   }
   if (this->is_superseded(token)) {
-    this->extend_expiry(this->options.runner_max_lease, this->time.now());
+    this->leases.extend(this->options.runner_max_lease, this->time.now());
     return;  // It may be of a previous incarnation, whose clock shows another time.
   }
   const clock_reading reading{*answer.clock_ms, sent, this->time.now()};
@@ -129,16 +148,11 @@
     this->incarnation_uncertain = true;
   }
   if (same != same_incarnation::yes) {
-    this->extend_expiry(this->options.runner_max_lease, reading.received);
+    // In another incarnation, whose clock began anew, the lease lasts for the runner's own maximum.
+    this->leases.extend(this->options.runner_max_lease, reading.received);
   }
 }
 
-// The end of a lease that was reckoned by the clock of a previous incarnation is far in the
-// future of the present one, which grants its own maximum from the execution on.
-void runner_session::extend_expiry(millis lease, instant now) {
-  this->leases_expire_at = std::max(this->leases_expire_at, now + expiry_time(lease));
-}
-
 bool runner_session::may_poll() const {
   if (this->poll_in_flight) {
     return false;
@@ -168,21 +182,27 @@
   const bool may_acknowledge = this->acknowledgement_due() && !this->incarnation_uncertain &&
                                this->proof_age(now) <= shortest_restart_and_run;
   request.acked_up_to = may_acknowledge ? this->stored_up_to : 0;
+  // A poll that waits carries no lease: while it had no answer, its lease might begin at any time.
   const bool may_extend = this->admitted && !this->incarnation_uncertain && this->is_proven(now);
-  const std::optional<millis> lease = may_extend ? this->next_lease(now) : std::nullopt;
-  const bool may_wait =
-      lease && this->announced && !this->has_unstored_ends() && !this->acknowledgement_due();
-  request.wait = may_wait && !this->runs.empty() ? this->options.poll_wait : millis{0};
+  const millis since_renewal = now - this->last_renewal;
+  const bool renew = may_extend && since_renewal >= renew_early;
+  const bool may_wait = may_extend && !renew && this->announced && !this->has_unstored_ends() &&
+                        !this->acknowledgement_due() && !this->runs.empty();
+  request.wait = may_wait ? this->options.poll_wait - since_renewal : millis{0};
+  const std::optional<millis> lease = renew ? this->next_lease(now) : std::nullopt;
+  std::int64_t grant = no_grant;
   if (lease) {
-    request.lease_until_ms = this->grant(*lease, now);
+    request.lease_until_ms = this->end_of_lease(*lease, now);
+    grant = this->leases.sent({now, *lease, now + lease_expiry::longest_way});
     this->last_renewal = now;
-  } else if (may_extend) {
+  } else if (may_extend && !may_wait && request.acked_up_to == 0) {
     this->next_poll = now + this->options.retry;
   }
   this->poll_in_flight = true;
-  this->port.poll(request, [this, request, now, a = this->alive](const poll_answer& answer) {
+  this->port.poll(request, [this, request, now, grant, a = this->alive](const poll_answer& answer) {
     if (*a) {
       this->poll_in_flight = false;
+      this->settle_grant(grant, answer.status);
       this->poll_answered(answer, request, now);
     }
   });
@@ -205,6 +225,11 @@
     this->leader.token_refused(this->id);
     return;
   }
+  if (answer.status == command_status::fenced) {
+    this->next_poll = this->time.now();  // Our own later token has overtaken the poll.
+    this->poll();
+    return;
+  }
   this->incarnation_uncertain = true;
   if (++this->failed_polls == 1) {
     this->events.write("runner_silent",
@@ -242,7 +267,7 @@
   if (this->next_command <= now || (this->may_poll() && this->poll_due(now, false))) {
     return true;
   }
-  return !this->runs.empty() && this->leases_expire_at <= now && this->may_expire();
+  return !this->runs.empty() && this->lease_end() <= now && this->may_expire();
 }
 
 void runner_session::tick() {
@@ -278,21 +303,37 @@
 }
 
 instant runner_session::runs_given_up_at() const {
-  return !this->runs.empty() && this->may_expire() ? this->leases_expire_at : never;
+  return !this->runs.empty() && this->may_expire() ? this->lease_end() : never;
+}
+
+instant runner_session::lease_end() const {
+  const bool any_lasts = std::any_of(this->runs.begin(), this->runs.end(),
+                                     [](const auto& entry) { return entry.second.lasts; });
+  return any_lasts ? this->leases.end_if_in_time() : this->leases.end();
+}
+
+bool runner_session::has_expired(const tracked_run& tracked, instant now) const {
+  return now >= (tracked.lasts ? this->leases.end_if_in_time() : this->leases.end());
 }
 
 void runner_session::close_expired() {
-  if (this->time.now() < this->leases_expire_at || this->runs.empty()) {
-    return;
-  }
-  this->admitted = false;
+  const instant now = this->time.now();
   std::vector<std::pair<run_key, std::string_view>> expired;
   for (const auto& [run, tracked] : this->runs) {
+    if (!this->has_expired(tracked, now)) {
+      continue;
+    }
     const std::string_view why = this->crashed_under(tracked) ? "runner_crashed" : "lease_lapsed";
     this->log_closed(run, tracked, why);
     expired.emplace_back(run, why);
   }
-  this->runs.clear();
+  if (expired.empty()) {
+    return;
+  }
+  this->admitted = false;
+  for (const auto& [run, why] : expired) {
+    this->runs.erase(run);
+  }
   for (const auto& [run, why] : expired) {
     this->leader.run_lost(this->id, run, why);
   }
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -10,6 +10,7 @@
 
 #include "async/event_log.h"
 #include "base/clock.h"
+#include "cell/lease_expiry.h"
 #include "cell/runner_clock.h"
 #include "cell/runner_port.h"
 #include "cell/runner_tokens.h"
@@ -28,6 +29,13 @@
   millis probe_interval{1'000};         // Between polls of a runner that does not answer.
 };
 
+// The permission that a start carries where its queue has advice.
+struct start_ticket {
+  std::string text;  // Empty: none is needed.
+  // No runner accepts the ticket later than this.
+  instant refused_after = never;
+};
+
 // Callbacks of a session to the leader.
 class session_events {
  public:
@@ -80,8 +88,10 @@
   void use_last_known_address(const runner_contact& contact);
   // Tracks a run that a previous leader may have started on this runner.
   // `placed_on`: the incarnation that its start was meant for; 0: unknown.
-  void recover(const run_key& run, std::int64_t placed_on);
-  void start(const run_key& run, std::string payload, std::string ticket, std::string checkpoint);
+  // `lasts`: its task lasts, so it has to run again in time.
+  void recover(const run_key& run, std::int64_t placed_on, bool lasts);
+  void start(const run_key& run, std::string payload, const start_ticket& ticket,
+             std::string checkpoint, bool lasts);
   void stop(const run_key& run);
   // Reports that the end with this number is in the log. Ends may be stored in any order.
   void end_stored(std::int64_t number);
@@ -100,8 +110,8 @@
   // For how long the run is known to have run: from the answer to its start, or the first report
   // of it, to the runner's last answer. 0 if it has not answered for the run, or is to be stopped.
   millis known_to_run(const run_key& run) const;
-  // All leases on the runner have ended then, if none is granted from now on.
-  instant lease_end() const { return this->leases_expire_at; }
+  // The leases of the runs on the runner count until then, if none is granted from now on.
+  instant lease_end() const;
   // When the runs on the runner are given up if it stays out of contact; `never` if it is in
   // contact or there are none.
   instant runs_given_up_at() const;
@@ -111,6 +121,7 @@
  private:
   struct tracked_run {
     bool recovered = false;
+    bool lasts = false;
     instant answered_at{0};              // When a start or stop was answered; 0: not yet.
     std::int32_t unanswered_starts = 0;  // Start commands without an answer.
     std::int32_t attempts = 0;
@@ -120,9 +131,12 @@
     bool stop_in_flight = false;
     bool stop_answered = false;
     instant next_try{0};
+    instant ticket_refused_after = never;
     start_command command;
   };
 
+  static constexpr std::int64_t no_grant = 0;
+
   // True if a start or stop of the run has to be sent again once its `next_try` has come.
   static bool awaits_repeat(const tracked_run& tracked);
   // Sends the command of the run again then, if none is answered before.
@@ -174,15 +188,20 @@
   void send_stop(const run_key& run);
   // True if the runs are given up when the leases have ended, unless the runner answers before.
   bool may_expire() const;
+  // True if the run is over unless the runner has answered before. Of one that lasts that is said
+  // although a lease may come late, since its task must not be without a run for so long.
+  bool has_expired(const tracked_run& tracked, instant now) const;
   void close_expired();
   void update_clock(const command_answer& answer, fencing_token token, instant sent);
-  // A command of ours was executed now or before, and may have extended leases by this.
-  void extend_expiry(millis lease, instant now);
   // The longest lease, on the runner's clock, that may be granted now; empty if none may.
   std::optional<millis> next_lease(instant now) const;
-  // Grants the lease from `now` on, for which it was reckoned; returns its end on the runner's
-  // clock. The process may have been frozen in between.
-  std::int64_t grant(millis lease, instant now);
+  // The end of the lease on the runner's clock, from `now` on, for which it was reckoned. The
+  // process may have been frozen in between.
+  std::int64_t end_of_lease(millis lease, instant now) const;
+  // The command with this grant, if it has one, was answered so.
+  void settle_grant(std::int64_t grant, command_status status);
+  // The runner has executed a command with our newest token, so it refuses all that come late.
+  void note_fence();
   // True if neither the last report nor the entry is of another incarnation than this one.
   bool is_present(std::int64_t placed_on) const {
     return this->incarnation == placed_on && this->entry.incarnation == placed_on;
@@ -208,7 +227,7 @@
   std::int64_t incarnation = 0;
   runner_tokens tokens;  // A new one for each incarnation that is met.
   runner_clock runner_time;
-  instant leases_expire_at;
+  lease_expiry leases;
   std::int64_t last_end_seen = 0;
   // Ends up to this number are in the log, so they can be acknowledged to the runner,
   // which may then forget them.
@@ -218,7 +237,7 @@
   std::set<std::int64_t> unstored_ends;  // Reported ends that are not in the log yet.
   bool poll_in_flight = false;
   instant next_poll{0};
-  instant last_renewal;  // When the last poll that renewed the lease was sent.
+  instant last_renewal;  // When the last command that renewed the lease was sent.
   bool proof_in_flight = false;
   instant proven_until{0};  // Because of an answer that was under way for long.
   instant busy_since;       // When the first of the present runs was started or taken over.
--- a/src/cell/runner_session_commands.cc
+++ b/src/cell/runner_session_commands.cc
@@ -1,19 +1,23 @@
 // The start and stop commands of a session, their answers and repeats.
 
+#include <algorithm>
+
 #include "cell/runner_session.h"
 
 namespace monsoonmux::cell {
 
-void runner_session::start(const run_key& run, std::string payload, std::string ticket,
-                           std::string checkpoint) {
+void runner_session::start(const run_key& run, std::string payload, const start_ticket& ticket,
+                           std::string checkpoint, bool lasts) {
   if (this->runs.empty()) {
     this->busy_since = this->time.now();
   }
   tracked_run& tracked = this->runs[run];
+  tracked.lasts = lasts;
   tracked.command.task = run.task.text();
   tracked.command.run = run.run;
   tracked.command.payload = std::move(payload);
-  tracked.command.ticket = std::move(ticket);
+  tracked.command.ticket = ticket.text;
+  tracked.ticket_refused_after = ticket.refused_after;
   tracked.command.checkpoint = std::move(checkpoint);
   tracked.placed_on = this->incarnation;
   this->send_start(run);
@@ -44,10 +48,14 @@
     return;
   }
   tracked.command.target = this->target();
-  tracked.command.lease_until_ms = this->grant(*lease, now);
-  this->port.start(tracked.command, [this, run, now, token = tracked.command.target.token,
+  tracked.command.lease_until_ms = this->end_of_lease(*lease, now);
+  const instant executed_by =
+      std::min(now + lease_expiry::longest_way, tracked.ticket_refused_after);
+  const std::int64_t grant = this->leases.sent({now, *lease, executed_by, true});
+  this->port.start(tracked.command, [this, run, now, grant, token = tracked.command.target.token,
                                      a = this->alive](const command_answer& answer) {
     if (*a) {
+      this->settle_grant(grant, answer.status);
       this->start_answered(run, answer, token, now);
     }
   });
@@ -65,6 +73,7 @@
     case command_status::done:
     case command_status::stale_run:
       tracked.answered_at = this->time.now();
+      this->last_renewal = std::max(this->last_renewal, sent);
       this->poll();
       return;
     case command_status::fenced:
@@ -76,6 +85,7 @@
       break;
     case command_status::unknown:
       ++tracked.unanswered_starts;
+      this->prove();  // Under the next token, so that the runner refuses what comes late.
       break;
     case command_status::not_sent:
       break;
--- a/src/cell/runner_session_reports.cc
+++ b/src/cell/runner_session_reports.cc
@@ -25,6 +25,9 @@
   this->process_ends(report);
   this->process_running(report);
   const bool fences = !this->is_superseded(request.target.token);
+  if (fences) {
+    this->note_fence();
+  }
   this->close_missing(report, sent, fences);
   if (!fences) {
     this->next_poll = this->time.now();
@@ -79,7 +82,7 @@
   this->proven_until = instant{0};
   this->suspect_restart();
   this->leader.runner_unresponsive(this->id);
-  this->extend_expiry(this->options.runner_max_lease, this->time.now());
+  this->leases.extend(this->options.runner_max_lease, this->time.now());
 }
 
 std::int64_t runner_session::starts_without_answer() const {
@@ -196,7 +199,7 @@
                                     {"answered_ms", since_answer},
                                     {"unanswered_starts", tracked.unanswered_starts},
                                     {"proof_ms", this->proof_age(now).value},
-                                    {"lease_over_ms", (now - this->leases_expire_at).value},
+                                    {"lease_over_ms", (now - this->leases.end()).value},
                                     {"acknowledged", this->acknowledged_up_to}});
 }
 
--- a/src/cell/testing/fake_runner_port.h
+++ b/src/cell/testing/fake_runner_port.h
@@ -23,12 +23,13 @@
   void start(const start_command& command, std::function<void(command_answer)> on_answer) override {
     this->command(
         command.target, std::move(on_answer),
-        [command](fake_runner& r) { return r.start(command); },
+        [command](fake_runner& r, millis way) { return r.start(command, way); },
         [this](const fake_runner& r) { return this->is_late(r) || this->chance(r.late_starts); });
   }
   void stop(const stop_command& command, std::function<void(command_answer)> on_answer) override {
     this->command(
-        command.target, std::move(on_answer), [command](fake_runner& r) { return r.stop(command); },
+        command.target, std::move(on_answer),
+        [command](fake_runner& r, millis) { return r.stop(command); },
         [this](const fake_runner& r) { return this->is_late(r); });
   }
   void poll(const poll_request& request, std::function<void(poll_answer)> on_answer) override {
@@ -39,7 +40,7 @@
         [this, request](fake_runner& r, const auto& answer) {
           if (this->is_late(r) || this->chance(r.late_polls)) {
             this->execute_later(r, request.target,
-                                [request](fake_runner& by) { by.poll(request); });
+                                [request](fake_runner& by, millis way) { by.poll(request, way); });
             return;
           }
           this->wait_for_end(r, request, this->loop.now() + request.wait, answer);
@@ -78,7 +79,7 @@
                                    this->execute_later(r, target, execute);
                                    return;
                                  }
-                                 answer(execute(r));
+                                 answer(execute(r, millis{0}));
                                });
   }
 
@@ -92,9 +93,9 @@
     const auto span = static_cast<std::uint32_t>(runner.delay_span.value);
     const millis delay =
         runner.shortest_delay + millis{static_cast<std::int64_t>(this->random() % span)};
-    this->loop.after(delay, [&runner, execute, instance = target.instance] {
+    this->loop.after(delay, [&runner, execute, delay, instance = target.instance] {
       if (runner.up && accepts(runner, instance)) {
-        execute(runner);
+        execute(runner, delay);
       }
     });
   }
--- a/src/cell/testing/fake_runners.h
+++ b/src/cell/testing/fake_runners.h
@@ -77,13 +77,15 @@
         this->clock_rate);
   }
 
-  command_answer start(const start_command& command) {
+  // `way`: for how long the command was on its way. The time of its lease counts from its arrival.
+  command_answer start(const start_command& command, millis way = millis{0}) {
     command_answer out{command_status::done, this->clock()};
+    const std::int64_t until_ms = command.lease_until_ms + way.value;
     if (!this->accept_token(command.target.token)) {
       out.status = command_status::fenced;
       return out;
     }
-    if (command.lease_until_ms <= this->clock()) {
+    if (until_ms <= this->clock()) {
       out.status = command_status::lease_expired;
       return out;
     }
@@ -94,16 +96,16 @@
     const auto closed = this->closed.find(command.task);
     const auto running = this->runs.find(command.task);
     if (running != this->runs.end() && running->second.run == command.run) {
-      this->extend(command.lease_until_ms);
+      this->extend(until_ms);
       return out;
     }
     if ((closed != this->closed.end() && command.run <= closed->second) ||
         running != this->runs.end()) {
-      this->extend(command.lease_until_ms);
+      this->extend(until_ms);
       out.status = command_status::stale_run;
       return out;
     }
-    this->extend(command.lease_until_ms);
+    this->extend(until_ms);
     this->begin(command);
     return out;
   }
@@ -124,14 +126,14 @@
     return out;
   }
 
-  poll_answer poll(const poll_request& request) {
+  poll_answer poll(const poll_request& request, millis way = millis{0}) {
     poll_answer out;
     if (!this->accept_token(request.target.token)) {
       out.status = command_status::fenced;
       return out;
     }
     if (request.lease_until_ms) {
-      this->extend(*request.lease_until_ms);
+      this->extend(*request.lease_until_ms + way.value);
     }
     std::erase_if(this->finished, [&](const finished_run& end) {
       if (end.number > request.acked_up_to) {
--- /dev/null
+++ b/src/cell/testing/late_grant_test.cc
@@ -0,0 +1,206 @@
+// Leases whose calls are on their way for seconds and whose time counts from their arrival, on
+// runners that are then cut off: does a run outlast the time after which its task starts elsewhere?
+
+#include <catch2/catch.hpp>
+
+#include "cell/testing/cell_checks.h"
+#include "cell/testing/seeded_plays.h"
+
+namespace monsoonmux::cell {
+namespace {
+
+constexpr millis long_time{60'000};
+
+void cut_off_from_all(fake_cell& cell, fake_runner& runner) {
+  for (const auto& n : cell.nodes) {
+    runner.partitioned.insert(n->name);
+  }
+}
+
+void drain(fake_cell& cell, fake_runner& runner, bool draining) {
+  runner.entry.draining = draining;
+  cell.store.put("runners", runner.entry.id, "1");
+}
+
+enum class leader_fate { kept, lost };
+
+// One task, whose runner gets no poll in time for a while and is then cut off from all daemons.
+void play_late_polls(bool with_agents, millis delay, leader_fate fate) {
+  constexpr millis start_time{3'000};
+  constexpr millis late_time{2'600};
+  constexpr millis cut_time{25'000};
+  fake_cell cell(3, 2, 1, with_agents ? through_agents() : daemon_options{});
+  for (auto& runner : cell.runners) {
+    runner->task_time = long_time;
+  }
+  fake_runner& late = *cell.runners[0];
+  fake_runner& other = *cell.runners[1];
+  drain(cell, other, true);
+  cell.loop.run_for(boot_time);
+  cell.submit(0, job_name(0), fake_cell::simple_job(1));
+  cell.loop.run_for(start_time);
+  REQUIRE(cell.history.starts == 1);
+  drain(cell, other, false);
+  late.late_polls = 1;
+  late.shortest_delay = delay;
+  late.delay_span = millis{1};
+  cell.loop.run_for(late_time);
+  cut_off_from_all(cell, late);
+  const int leader = cell.leader();
+  if (fate == leader_fate::lost && leader >= 0) {
+    cell.nodes[static_cast<std::size_t>(leader)]->kill();
+  }
+  cell.loop.run_for(cut_time);
+  CHECK(cell.history.starts == 2);
+  check_history(cell);
+}
+
+TEST_CASE("A lease whose poll arrives late behind a cut does not outlast what the leader counts") {
+  constexpr std::int64_t delays_ms[] = {2'000, 3'000, 4'000, 5'000, 6'000, 9'000, 12'000};
+  for (const bool with_agents : {false, true}) {
+    for (const leader_fate fate : {leader_fate::kept, leader_fate::lost}) {
+      for (const std::int64_t delay : delays_ms) {
+        INFO("delay " << delay << (with_agents ? ", through agents" : "")
+                      << (fate == leader_fate::lost ? ", leader lost" : ""));
+        play_late_polls(with_agents, millis{delay}, fate);
+      }
+    }
+  }
+}
+
+enum class late_calls { polls, all_commands, all_beside_lost_leaders };
+
+// Changes one thing at a time: calls to a runner become late, and it is cut off for longer than a
+// lease.
+class late_lease_trouble {
+ public:
+  late_lease_trouble(fake_cell& cell, late_calls kind) : cell(cell), kind(kind) {}
+
+  void change() {
+    fake_runner& runner = *this->cell.runners[this->cell.random() % this->cell.runners.size()];
+    switch (this->cell.random() % 4) {
+      case 0:
+      case 1:
+        this->delay_calls(runner);
+        break;
+      case 2:
+        this->cut_off(runner);
+        break;
+      default:
+        this->delay_calls(runner);
+        this->cell.loop.after(this->between(100, 3'000),
+                              [this, &runner] { this->cut_off(runner); });
+    }
+    if (this->kind == late_calls::all_beside_lost_leaders && this->cell.random() % 4 == 0) {
+      this->lose_leader();
+    }
+  }
+  void end() {
+    this->ended = true;
+    for (auto& runner : this->cell.runners) {
+      runner->partitioned.clear();
+      this->set_late(*runner, 0);
+    }
+  }
+
+ private:
+  millis between(int shortest_ms, int longest_ms) {
+    return millis{shortest_ms +
+                  static_cast<std::int64_t>(this->cell.random() %
+                                            static_cast<std::uint32_t>(longest_ms - shortest_ms))};
+  }
+  void set_late(fake_runner& runner, double rate) const {
+    (this->kind == late_calls::polls ? runner.late_polls : runner.late_commands) = rate;
+  }
+  void delay_calls(fake_runner& runner) {
+    constexpr double rates[] = {0.2, 0.5, 1};
+    this->set_late(runner, rates[this->cell.random() % std::size(rates)]);
+    this->cell.loop.after(this->between(300, 4'000),
+                          [this, &runner] { this->set_late(runner, 0); });
+  }
+  void cut_off(fake_runner& runner) {
+    if (this->ended) {
+      return;
+    }
+    cut_off_from_all(this->cell, runner);
+    this->cell.loop.after(this->between(3'000, 20'000), [&runner] { runner.partitioned.clear(); });
+  }
+
+  void lose_leader() {
+    const int leader = this->cell.leader();
+    if (leader < 0) {
+      return;
+    }
+    fake_cell::node& lost = *this->cell.nodes[static_cast<std::size_t>(leader)];
+    lost.kill();
+    this->cell.loop.after(this->between(500, 3'000), [this, &lost] {
+      if (!lost.daemon) {
+        lost.boot(this->cell);
+      }
+    });
+  }
+
+  fake_cell& cell;
+  const late_calls kind;
+  bool ended = false;
+};
+
+// Long tasks on runners whose calls are late and which are cut off, again and again.
+void play_long_tasks(std::uint32_t seed, bool with_agents, late_calls kind) {
+  constexpr int daemons = 3;
+  constexpr int runners = 4;
+  constexpr int rounds = 40;
+  constexpr millis settle_time{30'000};
+  constexpr double slowest_clock = 0.98;
+  INFO("seed " << seed << (with_agents ? ", through agents" : ""));
+  fake_cell cell(daemons, runners, seed, with_agents ? through_agents() : daemon_options{});
+  for (auto& runner : cell.runners) {
+    runner->task_time = long_time;
+    runner->clock_rate = cell.random() % 2 == 0 ? slowest_clock : 1.0;
+  }
+  cell.loop.run_for(boot_time);
+  late_lease_trouble trouble(cell, kind);
+  for (int i = 0; i < rounds; ++i) {
+    if (i % 4 == 0) {
+      cell.submit(static_cast<int>(cell.random() % daemons), job_name(i), fake_cell::simple_job(2));
+    }
+    trouble.change();
+    cell.loop.run_for(millis{300 + static_cast<std::int64_t>(cell.random() % 1'500)});
+  }
+  trouble.end();
+  cell.loop.run_for(settle_time);
+  REQUIRE(cell.history.starts > 0);
+  check_history(cell);
+}
+
+TEST_CASE("Leases that are extended by late polls do not outlast what the leader counts") {
+  play_seeds(40, [](std::uint32_t seed, bool with_agents) {
+    play_long_tasks(seed, with_agents, late_calls::polls);
+  });
+}
+
+TEST_CASE("Leases that are extended by late commands do not outlast what the leader counts") {
+  play_seeds(40, [](std::uint32_t seed, bool with_agents) {
+    play_long_tasks(seed, with_agents, late_calls::all_commands);
+  });
+}
+
+void play_beside_lost_leaders(std::uint32_t seed, bool with_agents) {
+  play_long_tasks(seed, with_agents, late_calls::all_beside_lost_leaders);
+}
+
+// A leader is lost before it notes, in a renewal, that a lease without an answer may come late.
+const std::vector<seeded_play> leases_that_no_renewal_names{{4, false}, {137, false}};
+
+TEST_CASE("Leases that are extended by late commands do not outlast what successors count") {
+  play_seeds(40, play_beside_lost_leaders, leases_that_no_renewal_names);
+}
+
+TEST_CASE("A late lease outlasts what the successor of a lost leader counts", "[.][known-red]") {
+  for (const seeded_play& play : leases_that_no_renewal_names) {
+    play_beside_lost_leaders(play.seed, play.with_agents);
+  }
+}
+
+}  // namespace
+}  // namespace monsoonmux::cell
--- /dev/null
+++ b/src/cell/testing/lease_expiry_test.cc
@@ -0,0 +1,93 @@
+// Until when leases count, by the commands that were answered, got no answer or were fenced.
+
+#include "cell/lease_expiry.h"
+
+#include <catch2/catch.hpp>
+
+#include "cell/clock_drift.h"
+
+namespace monsoonmux::cell {
+namespace {
+
+constexpr instant start{1'000'000};
+constexpr millis lease{6'000};
+constexpr millis margin{300};
+
+// The end of a lease that a command gives which is executed then.
+instant end_from(instant executed) {
+  return executed + longest_real_time(lease) + margin;
+}
+lease_grant poll_at(instant sent) {
+  return {sent, lease, sent + lease_expiry::longest_way};
+}
+lease_grant start_at(instant sent, instant executed_by) {
+  return {sent, lease, executed_by, true};
+}
+
+TEST_CASE("An answered lease counts from the sending of its command") {
+  lease_expiry leases(instant{0});
+  const std::int64_t grant = leases.sent(poll_at(start));
+  CHECK(leases.end() == end_from(start));
+  leases.answered(grant);
+  CHECK(leases.end() == end_from(start));
+  CHECK_FALSE(leases.has_late_grants());
+}
+
+TEST_CASE("A lease without an answer counts from the end of the leases before it") {
+  lease_expiry leases(instant{0});
+  leases.answered(leases.sent(poll_at(start)));
+  const instant sent = start + millis{2'000};
+  leases.unanswered(leases.sent(poll_at(sent)));
+  CHECK(leases.has_late_grants());
+  CHECK(leases.end() == end_from(end_from(start)));
+  CHECK(leases.end_if_in_time() == end_from(sent));
+}
+
+TEST_CASE("A lease without an answer counts from the latest execution of its command at most") {
+  lease_expiry leases(start + millis{60'000});
+  leases.unanswered(leases.sent(poll_at(start)));
+  CHECK(leases.end() == start + millis{60'000});
+  const instant late = start + millis{50'000};
+  leases.unanswered(leases.sent(poll_at(late)));
+  CHECK(leases.end() == end_from(start + millis{60'000}));
+}
+
+TEST_CASE("Several leases without an answer add up in whatever order they are executed") {
+  lease_expiry leases(instant{0});
+  leases.answered(leases.sent(poll_at(start)));
+  const instant sent = start + millis{1'000};
+  const instant ticket_end = sent + millis{1'500};
+  leases.unanswered(leases.sent(poll_at(sent)));
+  leases.unanswered(leases.sent(start_at(sent, ticket_end)));
+  const instant after_start = end_from(ticket_end);
+  const instant last = std::min(sent + lease_expiry::longest_way, after_start);
+  CHECK(leases.end() == end_from(last));
+}
+
+TEST_CASE("A start without an answer may begin a run when all leases have ended") {
+  lease_expiry leases(instant{0});
+  const instant executed_by = start + lease_expiry::longest_way;
+  leases.unanswered(leases.sent(start_at(start, executed_by)));
+  CHECK(leases.end() == end_from(executed_by));
+}
+
+TEST_CASE("A lease is not extended any more once the runner has executed a later token") {
+  lease_expiry leases(instant{0});
+  leases.unanswered(leases.sent(poll_at(start)));
+  const instant fenced_at = start + millis{900};
+  leases.fenced(fenced_at);
+  CHECK_FALSE(leases.has_late_grants());
+  CHECK(leases.end() == end_from(fenced_at));
+}
+
+TEST_CASE("Fencing does not settle a command whose answer may still come in time") {
+  lease_expiry leases(instant{0});
+  const std::int64_t open = leases.sent(poll_at(start));
+  leases.fenced(start);
+  leases.unanswered(open);
+  CHECK(leases.has_late_grants());
+  CHECK(leases.end() == end_from(start));  // Nothing ran that it could extend later.
+}
+
+}  // namespace
+}  // namespace monsoonmux::cell
--- a/src/cell/testing/session_fixture.h
+++ b/src/cell/testing/session_fixture.h
@@ -86,7 +86,7 @@
   runner_session session{commands, time, events, leader, "i-1", epoch{2}, instant{0}, options};
 
   session_fixture() {
-    this->session.recover({*parse_task_ref(long_task), 1}, first_incarnation);
+    this->session.recover({*parse_task_ref(long_task), 1}, first_incarnation, false);
     this->list(first_incarnation, 0);
   }
   void list(std::int64_t born_ms, std::int64_t clock_ms) {
@@ -98,7 +98,7 @@
     this->session.update(entry);
   }
   void start(const std::string& task) {
-    this->session.start({*parse_task_ref(task), 1}, "p", "", "");
+    this->session.start({*parse_task_ref(task), 1}, "p", {}, "", false);
   }
   // Polls get no answer for this long.
   void silence(millis duration) {
--- a/src/decide/advice_cache.cc
+++ b/src/decide/advice_cache.cc
@@ -23,9 +23,10 @@
   return it != this->known.end() && it->runner == runner ? &*it : nullptr;
 }
 
-const std::string* advice_cache::step_advice::ticket_for(runner_number runner, instant when) const {
+const advice_cache::known_runner* advice_cache::step_advice::ticket_for(runner_number runner,
+                                                                        instant when) const {
   const known_runner* const found = this->find(runner);
-  return found != nullptr && when < found->ticket_until ? &found->ticket : nullptr;
+  return found != nullptr && when < found->ticket_until ? found : nullptr;
 }
 
 bool advice_cache::step_advice::known_good(runner_number runner) const {
@@ -108,13 +109,13 @@
   return known.good / known.asked;
 }
 
-std::string advice_cache::ticket_for(const step_ref& step, const std::string& runner,
+held_ticket advice_cache::ticket_for(const step_ref& step, const std::string& runner,
                                      instant now) const {
   const step_advice* const advice = this->find(step);
   const std::optional<runner_number> number = this->numbers->find(runner);
-  const std::string* const text =
+  const known_runner* const holder =
       advice != nullptr && number ? advice->ticket_for(*number, now) : nullptr;
-  return text != nullptr ? *text : std::string();
+  return holder != nullptr ? held_ticket{holder->ticket, holder->ticket_until} : held_ticket{};
 }
 
 void advice_cache::drop_ticket(const step_ref& step, const std::string& runner) {
--- a/src/decide/advice_cache.h
+++ b/src/decide/advice_cache.h
@@ -23,6 +23,12 @@
   std::string text;
 };
 
+// A ticket that is valid at present.
+struct held_ticket {
+  std::string text;  // Empty: there is none.
+  instant until{0};  // When it expires.
+};
+
 // Caches the answers of the advice service about the waiting steps.
 //
 // The set of runners that are good for a step, i.e. for which the service grants
@@ -62,8 +68,8 @@
     const known_runner* find(runner_number runner) const;
     bool asked(runner_number runner) const { return this->find(runner) != nullptr; }
     bool known_good(runner_number runner) const;
-    // Returns the ticket for a start at `when`; null if none is valid then.
-    const std::string* ticket_for(runner_number runner, instant when) const;
+    // Returns what holds the ticket for a start at `when`; null if none is valid then.
+    const known_runner* ticket_for(runner_number runner, instant when) const;
     // Some ticket is valid at `when`.
     bool holds_ticket(instant when) const;
   };
@@ -81,8 +87,8 @@
   // Estimates which share of the runners that a step of the queue has not yet been
   // queried about is good.
   double good_share(const queue_id& queue) const;
-  // Returns the ticket for a start now; empty if none is valid.
-  std::string ticket_for(const step_ref& step, const std::string& runner, instant now) const;
+  // Returns the ticket for a start now.
+  held_ticket ticket_for(const step_ref& step, const std::string& runner, instant now) const;
   void drop_ticket(const step_ref& step, const std::string& runner);
   void forget(const job_id& job);
   // Number of steps whose pending query was sent out of turn.
--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -493,7 +493,7 @@
                          const runner_state& runner, instant now) {
   const task_ref task{step.ref, index};
   placement out{task, run, runner.entry.id, runner.entry.incarnation, {}, {}};
-  out.ticket = this->state.advice.ticket_for(step.ref, runner.entry.id, now);
+  out.ticket = this->state.advice.ticket_for(step.ref, runner.entry.id, now).text;
   out.checkpoint = step.job->checkpoint_of(task);
   this->sendable_bytes -= start_command_bytes(step.job->spec().payload);
   step.job->place(task, run, runner.entry.id, runner.entry.incarnation, now);
