--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -180,6 +180,7 @@
   poll_request request;
   request.target = this->target();
   const bool may_acknowledge = this->acknowledgement_due() && !this->incarnation_uncertain &&
+                               now >= this->ends_kept_until &&
                                this->proof_age(now) <= shortest_restart_and_run;
   request.acked_up_to = may_acknowledge ? this->stored_up_to : 0;
   // A poll that waits carries no lease: while it had no answer, its lease might begin at any time.
@@ -215,8 +216,8 @@
     this->handle_report(answer.report, request, sent);
     const instant now = this->time.now();
     const bool due = this->acknowledgement_due();
-    if (due && this->proof_age(now) > shortest_restart_and_run) {
-      this->next_poll = now + this->options.retry;  // The answer took too long to arrive.
+    if (due && (now < this->ends_kept_until || this->proof_age(now) > shortest_restart_and_run)) {
+      this->next_poll = now + this->options.retry;  // Or the answer took too long to arrive.
     }
     this->poll(due && request.acked_up_to == 0);
     return;
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -235,6 +235,9 @@
   // Ends up to this number were acknowledged by a poll that this incarnation answered.
   std::int64_t acknowledged_up_to = 0;
   std::set<std::int64_t> unstored_ends;  // Reported ends that are not in the log yet.
+  // A start without a ticket and without an answer may be executed until then, also by the runner's
+  // next incarnation. Until then no end is acknowledged: the runner would forget that of its task.
+  instant ends_kept_until{0};
   bool poll_in_flight = false;
   instant next_poll{0};
   instant last_renewal;  // When the last command that renewed the lease was sent.
--- a/src/cell/runner_session_commands.cc
+++ b/src/cell/runner_session_commands.cc
@@ -85,6 +85,9 @@
       break;
     case command_status::unknown:
       ++tracked.unanswered_starts;
+      if (tracked.command.ticket.empty()) {
+        this->ends_kept_until = std::max(this->ends_kept_until, sent + lease_expiry::longest_way);
+      }
       this->prove();  // Under the next token, so that the runner refuses what comes late.
       break;
     case command_status::not_sent:
