Ask for room again when a start leaves the queue for its agent

Cause: a start is checked against its runner's capacity when the session sends it. Through an agent it then waits in the leader for the link (up to 200 ms and a message more) or until the agent has answered its first ping (up to 900 ms), and left that queue whatever the runner's entry showed by then.

Now the pool asks the leader for each start right before it writes the agent's message. A start without room is answered `not_sent`; the session repeats it or gives it up as before. That it was withheld does not count as the agent's fault. No message format changes.

Ruled out: a recall of what an agent holds. It would need a new message, and a stop of the same run waits there for the same connections as the start. What waits there is not closed by this commit.

--- a/src/cell/agent_pool.cc
+++ b/src/cell/agent_pool.cc
@@ -20,7 +20,7 @@
 
 agent_pool::agent_pool(event_loop& loop, runner_port& direct_port, frame_dialer& given_dialer,
                        const clock& now, event_log& out, metric_registry& registry,
-                       const agent_pool_options& given)
+                       const agent_pool_options& given, start_check start_allowed)
     : io(loop),
       direct(direct_port),
       dialer(given_dialer),
@@ -28,6 +28,7 @@
       events(out),
       metrics(registry),
       options(given),
+      may_send(std::move(start_allowed)),
       assignment(given.assignment),
       budget(given.link_mbps * bytes_per_megabit * given.link_share, given.burst),
       pause(loop),
@@ -170,7 +171,40 @@
                                                                      : encode(batch);
 }
 
+void agent_pool::withhold_starts(agent& a) {
+  std::vector<pending_command> withheld;
+  std::erase_if(a.outgoing.commands, [this, &a, &withheld](const numbered_command& queued) {
+    const auto* const start = std::get_if<start_command>(&queued.command);
+    if (start == nullptr || this->may_send(*start)) {
+      return false;
+    }
+    a.outgoing_bytes -= size_of(queued.command);
+    if (auto entry = this->pending.extract(queued.number)) {
+      withheld.push_back(std::move(entry.mapped()));
+    }
+    return true;
+  });
+  if (withheld.empty()) {
+    return;
+  }
+  this->events.write("queued_starts_withheld",
+                     {{"first_runner", withheld.front().runner}, {"starts", withheld.size()}});
+  this->metrics.count("queued_starts_withheld", static_cast<std::int64_t>(withheld.size()));
+  this->io.post([withheld = std::move(withheld), still_alive = std::weak_ptr(this->alive)] {
+    for (const pending_command& command : withheld) {
+      if (still_alive.expired()) {
+        return;
+      }
+      command.on_answer({command_status::not_sent, std::nullopt});
+    }
+  });
+}
+
 void agent_pool::send(agent& a) {
+  this->withhold_starts(a);
+  if (a.outgoing.commands.empty()) {
+    return;
+  }
   const instant now = this->time.now();
   this->metrics.count("agent_batches");
   this->metrics.count("agent_orders", static_cast<std::int64_t>(a.outgoing.commands.size()));
--- a/src/cell/agent_pool.h
+++ b/src/cell/agent_pool.h
@@ -51,9 +51,15 @@
 // executed. This only requires that both clocks run at about the same rate.
 class agent_pool final : public runner_port {
  public:
-  // `direct` sends commands to runners that have no agent.
-  agent_pool(event_loop& io, runner_port& direct, frame_dialer& dialer, const clock& time,
-             event_log& events, metric_registry& metrics, const agent_pool_options& options = {});
+  using start_check = std::function<bool(const start_command&)>;
+
+  // `direct` sends commands to runners that have no agent. `may_send` is asked for each start right
+  // before its message is written, since the start may have waited for the agent or for the link;
+  // a start that may not be sent any more is answered with `not_sent`.
+  agent_pool(
+      event_loop& io, runner_port& direct, frame_dialer& dialer, const clock& time,
+      event_log& events, metric_registry& metrics, const agent_pool_options& options = {},
+      start_check may_send = [](const start_command&) { return true; });
   ~agent_pool() override;
   agent_pool(const agent_pool&) = delete;
   agent_pool& operator=(const agent_pool&) = delete;
@@ -97,6 +103,8 @@
   // Sends what the link budget allows, and the rest later.
   void flush();
   void send(agent& a);
+  // Takes the starts that may not be sent any more out of the agent's next message.
+  void withhold_starts(agent& a);
   std::string encode_for_link(const command_batch& batch) const;
   void received(const std::string& name, const std::string& frame);
   void settle(numbered_answer answer);
@@ -115,6 +123,7 @@
   event_log& events;
   metric_registry& metrics;
   const agent_pool_options options;
+  const start_check may_send;
   agent_table assignment;
   link_budget budget;
   timer pause;  // Until the link budget allows the next batch.
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -74,7 +74,8 @@
                    this->advice_received(step, asked, answered, tickets);
                  }),
       agents(given.io, given.runners, given.dialer, given.time, given.events, given.metrics,
-             settings.agents),
+             settings.agents,
+             [this](const start_command& command) { return this->may_send(command); }),
       gate(given.io, this->agents, given.time, given.events, given.metrics, this->on.may_command,
            this->on.may_start),
       plan_timer(given.io),
@@ -216,6 +217,10 @@
   return runner == nullptr || runner->used.fits(runner->entry.capacity);
 }
 
+bool leader::may_send(const start_command& command) {
+  return this->has_room(command.target.instance);
+}
+
 void leader::token_refused(const std::string& runner) {
   this->on.on_epoch_over("runner " + runner + " has seen a higher fencing token");
 }
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -164,6 +164,8 @@
   void make_plan();
   void preempt(const std::vector<preemption>& runs);
   void send_starts(const std::vector<placement>& starts);
+  // False if the start, which has waited for its agent or for the link, must not be sent any more.
+  bool may_send(const start_command& command);
   // `accepted`: best estimate of when the job was accepted.
   void adopt(const job_record& record, instant accepted);
   // The time of day by the median of the daemons' clocks.
--- a/src/cell/testing/agent_test.cc
+++ b/src/cell/testing/agent_test.cc
@@ -229,8 +229,15 @@
   runner_agent agent{loop, runners, time, events};
   std::optional<agent_listener> listener;
   tcp_dialer dialer{io};
-  agent_pool pool{
-      loop, direct, dialer, time, events, metrics, {.assignment = {.max_direct_runners = 0}}};
+  bool may_send = true;
+  agent_pool pool{loop,
+                  direct,
+                  dialer,
+                  time,
+                  events,
+                  metrics,
+                  {.assignment = {.max_direct_runners = 0}},
+                  [this](const start_command&) { return this->may_send; }};
 
   tcp_pair() {
     this->listener.emplace(this->io, this->loop, this->time, this->events, this->agent, "127.0.0.1",
@@ -288,6 +295,30 @@
   CHECK(report->report.running[0].percent == 41);
 }
 
+TEST_CASE("A start that lost its room while its agent was being connected is not sent") {
+  tcp_pair pair;
+  std::vector<command_status> answers;
+  const auto start = [&] {
+    pair.pool.start(command_to("r"),
+                    [&](const command_answer& answer) { answers.push_back(answer.status); });
+  };
+  bool stopped = false;
+  start();
+  pair.pool.stop({command_to("r").target, "j.0.0.1", 1}, [&](const command_answer& answer) {
+    stopped = answer.status == command_status::done;
+  });
+  pair.may_send = false;
+  REQUIRE(pair.run_until([&] { return stopped && !answers.empty(); }));
+  CHECK(answers == std::vector{command_status::not_sent});
+  CHECK(pair.runners.starts.empty());
+  pair.may_send = true;
+  start();
+  REQUIRE(pair.run_until([&] { return answers.size() == 2; }));
+  CHECK(answers.back() == command_status::done);
+  CHECK(pair.runners.starts.size() == 1);
+  CHECK(pair.direct.starts.empty());  // That it was withheld is no fault of the agent.
+}
+
 TEST_CASE(
     "Commands to an unreachable agent have an unknown outcome; later ones are sent directly") {
   tcp_pair pair;
