--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -211,9 +211,13 @@
   this->state.advice.drop_ticket(run.task.in, runner);
 }
 
+// A run of unknown need may take all that is left.
 bool leader::has_room(const std::string& id) {
   const runner_state* const runner = this->state.runners.find(id);
-  return runner == nullptr || runner->used.fits(runner->entry.capacity);
+  if (runner == nullptr) {
+    return true;
+  }
+  return runner->runs_of_unknown_need == 0 && runner->used.fits(runner->entry.capacity);
 }
 
 void leader::token_refused(const std::string& runner) {
--- a/src/cell/testing/ledger_test.cc
+++ b/src/cell/testing/ledger_test.cc
@@ -197,6 +197,39 @@
   CHECK(cell.history.of_step_on(runner.entry.id, job + ".0.0.") == 4);
 }
 
+TEST_CASE("A start is not repeated beside a run that was found there and whose need is unknown") {
+  fake_cell cell(1, 1, 7);
+  fake_runner& runner = *cell.runners[0];
+  cell.loop.run_for(boot_time);
+  cell.submit(0, other_job, fake_cell::simple_job(1));
+  cell.loop.run_for(millis{500});
+  REQUIRE(cell.history.starts == 1);
+  runner.task_time = millis{60'000};
+  runner.stop_time = millis{900};
+  // The starts get no answer, and are repeated half a second later. Only the repeats would be
+  // executed.
+  runner.late_starts = 1;
+  runner.shortest_delay = millis{8'000};
+  cell.submit(0, job, fake_cell::simple_job(3));
+  cell.loop.run_for(millis{150});
+  runner.late_starts = 0;
+  const std::string strange = job_name(4);
+  job_spec spec = fake_cell::simple_job(1);
+  spec.steps[0].need.cpu = millicores{2'000};
+  cell.history.jobs[strange] = {spec, pool_id("s")};
+  start_command command;
+  command.target.token = runner_tokens(epoch{1}).current();
+  command.task = strange + ".0.0.0";
+  command.run = 1;
+  command.lease_until_ms = runner.clock() + 6'000;
+  REQUIRE(runner.start(command).status == command_status::done);
+  REQUIRE(cell.history.starts == 2);
+  // The report of the first job's end, 800 ms after its start, lists that run.
+  cell.loop.run_for(millis{8'000});
+  check_history(cell);
+  CHECK(cell.history.of_step_on(runner.entry.id, job + ".0.0.") == 3);
+}
+
 TEST_CASE("What was placed on a runner before its restart is not sent to the restarted one") {
   fake_cell cell(1, 1, 7);
   fake_runner& runner = *cell.runners[0];
