--- a/src/cell/lease_expiry.cc
+++ b/src/cell/lease_expiry.cc
@@ -51,7 +51,7 @@
       ++it;
       continue;
     }
-    this->settled = std::max(this->settled, now + expiry_time(it->second.grant.lease));
+    this->settled = std::max(this->settled, now + expiry_time(it->second.grant.lease_if_late));
     it = this->open.erase(it);
   }
   this->late = 0;
@@ -85,7 +85,7 @@
     const instant executed =
         grant.begins_run ? grant.executed_by : std::min(grant.executed_by, this->latest);
     this->latest =
-        std::max(this->latest, std::max(executed, grant.sent) + expiry_time(grant.lease));
+        std::max(this->latest, std::max(executed, grant.sent) + expiry_time(grant.lease_if_late));
   }
 }
 
--- a/src/cell/lease_expiry.h
+++ b/src/cell/lease_expiry.h
@@ -10,7 +10,8 @@
 // A command that carries a lease, which extends the leases of all runs on its runner.
 struct lease_grant {
   instant sent;
-  millis lease;  // On the runner's clock.
+  millis lease;          // On the runner's clock.
+  millis lease_if_late;  // The same if the command is executed late.
   // No runner executes the command later than this.
   instant executed_by;
   bool begins_run = false;  // Otherwise it matters only to runs that are there.
--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -58,11 +58,16 @@
   }
   if (restarted && next.incarnation != this->incarnation) {
     this->suspect_restart();
-    this->tokens.raise();
+    this->raise_token_for_restart();
   }
   this->poll();
 }
 
+void runner_session::raise_token_for_restart() {
+  this->tokens.raise();
+  this->first_of_incarnation = this->tokens.current();
+}
+
 // No reading of its clock is known. That needs none: nothing is granted before its first answer.
 void runner_session::use_last_known_address(const runner_contact& contact) {
   if (this->reachable()) {
@@ -138,7 +143,7 @@
   if (!answer.clock_ms) {
     return;
   }
-  if (this->is_superseded(token)) {
+  if (token < this->first_of_incarnation) {
     this->leases.extend(this->options.runner_max_lease, this->time.now());
     return;  // It may be of a previous incarnation, whose clock shows another time.
   }
@@ -194,7 +199,7 @@
   std::int64_t grant = no_grant;
   if (lease) {
     request.lease_until_ms = this->end_of_lease(*lease, now);
-    grant = this->leases.sent({now, *lease, now + lease_expiry::longest_way});
+    grant = this->leases.sent({now, *lease, *lease, now + lease_expiry::longest_way});
     this->last_renewal = now;
   } else if (may_extend && !may_wait && request.acked_up_to == 0) {
     this->next_poll = now + this->options.retry;
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -153,7 +153,9 @@
   millis proof_age(instant now) const { return now - this->runner_time.alive_at(); }
   void handle_report(const poll_report& report, const poll_request& request, instant sent);
   void note_restart(const poll_report& report, const poll_request& request, instant sent);
-  // True if the runner has restarted, as far as known, since a command with this token was sent.
+  // From now on commands carry a higher token, since the runner has restarted, as far as known.
+  void raise_token_for_restart();
+  // True if the runner has to refuse a command with this token once it has answered under ours.
   bool is_superseded(fencing_token sent_with) const { return sent_with < this->tokens.current(); }
   void log_superseded(std::string_view command, const run_key& run);
   // The number of runs of which a start may still be executed.
@@ -225,7 +227,9 @@
   // nor acknowledge ends.
   bool incarnation_uncertain = false;
   std::int64_t incarnation = 0;
-  runner_tokens tokens;  // A new one for each incarnation that is met.
+  // A new one for each incarnation that is met, and after each lease without an answer.
+  runner_tokens tokens;
+  fencing_token first_of_incarnation{0};  // Lower ones were for previous incarnations.
   runner_clock runner_time;
   lease_expiry leases;
   std::int64_t last_end_seen = 0;
--- a/src/cell/runner_session_commands.cc
+++ b/src/cell/runner_session_commands.cc
@@ -51,7 +51,10 @@
   tracked.command.lease_until_ms = this->end_of_lease(*lease, now);
   const instant executed_by =
       std::min(now + lease_expiry::longest_way, tracked.ticket_refused_after);
-  const std::int64_t grant = this->leases.sent({now, *lease, executed_by, true});
+  // Without a ticket the next incarnation executes it too, whose clock began anew.
+  const millis lease_if_late =
+      tracked.command.ticket.empty() ? std::max(*lease, this->options.runner_max_lease) : *lease;
+  const std::int64_t grant = this->leases.sent({now, *lease, lease_if_late, executed_by, true});
   this->port.start(tracked.command, [this, run, now, grant, token = tracked.command.target.token,
                                      a = this->alive](const command_answer& answer) {
     if (*a) {
--- a/src/cell/runner_session_reports.cc
+++ b/src/cell/runner_session_reports.cc
@@ -68,7 +68,7 @@
                                        {"acknowledged", request.acked_up_to},
                                        {"poll_ms", (this->time.now() - sent).value},
                                        {"starts_under_way", this->starts_without_answer()}});
-  this->tokens.raise();
+  this->raise_token_for_restart();
   for (auto& [run, tracked] : this->runs) {
     if (tracked.stopping) {
       tracked.stop_answered = false;
--- a/src/cell/testing/lease_expiry_test.cc
+++ b/src/cell/testing/lease_expiry_test.cc
@@ -18,10 +18,10 @@
   return executed + longest_real_time(lease) + margin;
 }
 lease_grant poll_at(instant sent) {
-  return {sent, lease, sent + lease_expiry::longest_way};
+  return {sent, lease, lease, sent + lease_expiry::longest_way};
 }
 lease_grant start_at(instant sent, instant executed_by) {
-  return {sent, lease, executed_by, true};
+  return {sent, lease, lease, executed_by, true};
 }
 
 TEST_CASE("An answered lease counts from the sending of its command") {
@@ -71,6 +71,15 @@
   CHECK(leases.end() == end_from(executed_by));
 }
 
+TEST_CASE("A late start counts with the longest lease that the next incarnation may give it") {
+  constexpr millis longest_lease{10'000};
+  lease_expiry leases(instant{0});
+  const instant executed_by = start + lease_expiry::longest_way;
+  leases.unanswered(leases.sent({start, lease, longest_lease, executed_by, true}));
+  CHECK(leases.end() == executed_by + longest_real_time(longest_lease) + margin);
+  CHECK(leases.end_if_in_time() == end_from(start));
+}
+
 TEST_CASE("A lease is not extended any more once the runner has executed a later token") {
   lease_expiry leases(instant{0});
   leases.unanswered(leases.sent(poll_at(start)));
--- a/src/cell/testing/runner_session_test.cc
+++ b/src/cell/testing/runner_session_test.cc
@@ -366,6 +366,22 @@
   CHECK(f.leader.lost.size() == 2);
 }
 
+TEST_CASE("An answer beside a start without one lengthens no lease by the runner's maximum") {
+  session_fixture f;
+  f.report({});
+  f.loop.run_for(millis{1});
+  f.report({});
+  f.start("job.0.0.5");
+  f.start("job.0.0.6");
+  REQUIRE(f.commands.start_answers.size() == 2);
+  f.commands.start_answers[0]({command_status::unknown, {}});
+  f.commands.report(f.state());  // Under the next token, which settles the first start.
+  const instant before = f.session.lease_end();
+  f.loop.run_for(millis{1});
+  f.commands.start_answers[1]({command_status::done, f.clock()});
+  CHECK(f.session.lease_end().value == before.value);
+}
+
 TEST_CASE("A poll that a restarted runner has answered extends leases by the runner's maximum") {
   session_fixture f;
   f.report({});
