--- a/src/cell/command_gate.h
+++ b/src/cell/command_gate.h
@@ -16,8 +16,8 @@
 //
 // A successor relies on the window together with the longest lease: each poll and each start
 // extends the lease of everything that runs on its runner, so a command after the end of the
-// window would keep runs alive that the successor takes for lapsed. A command within the
-// window carries the end of its lease, so it may wait or be executed later without harm.
+// window would keep runs alive that the successor takes for lapsed. So may one within the window
+// that is executed late, as its lease counts from then: see lease_expiry.
 class command_gate final : public runner_port {
  public:
   // `may_command`: true while commands may be sent. `may_start`: true while starts may be.
--- a/src/cell/lease_reach.h
+++ b/src/cell/lease_reach.h
@@ -12,7 +12,7 @@
 
 struct lease_reach_options {
   // No lease lasts longer than this after the claim or renewal under which it was granted was
-  // sent.
+  // sent, if no command is executed late.
   millis horizon;
   // The same for a leader that writes no lease_bounds, from when its claim was read on.
   millis horizon_without_bounds;
