--- a/src/cell/peer_request_handler.cc
+++ b/src/cell/peer_request_handler.cc
@@ -6,8 +6,8 @@
 namespace monsoonmux::cell {
 namespace {
 
-// Stored requests that are remembered to detect repeats, which arrive within seconds.
-constexpr std::size_t max_stored_ids = 4'096;
+// Requests that are remembered to detect repeats, which arrive within seconds.
+constexpr std::size_t max_settled = 4'096;
 
 }  // namespace
 
@@ -75,8 +75,10 @@
   if (!this->leader_active() || this->storing.contains(id)) {
     return;  // A repeat is answered when the record is in the log.
   }
-  if (this->stored.contains(id)) {
-    this->send_stored(request, from, {0, true, {}, {}});
+  if (const auto earlier = this->settled.find(id); earlier != this->settled.end()) {
+    if (earlier->second) {
+      this->send_stored(request, from, *earlier->second);
+    }
     return;
   }
   if (request.version < this->jobs.config().version) {
@@ -102,18 +104,30 @@
   store_request_message original;
   original.request = request.request;
   this->leader.store({request.record_key, request.record_value}, [this, id, original, from] {
-    this->mark_stored(id);
-    this->send_stored(original, from, {0, true, {}, {}});
+    const store_answer_message answer{0, true, {}, {}};
+    this->settle(id, answer);
+    this->send_stored(original, from, answer);
   });
 }
 
-void peer_request_handler::mark_stored(const request_id& id) {
+void peer_request_handler::settle(const request_id& id,
+                                  std::optional<store_answer_message> answer) {
   this->storing.erase(id);
-  this->stored.insert(id);
-  this->stored_in_order.push_back(id);
-  if (this->stored_in_order.size() > max_stored_ids) {
-    this->stored.erase(this->stored_in_order.front());
-    this->stored_in_order.pop_front();
+  const bool is_new = this->settled.insert_or_assign(id, std::move(answer)).second;
+  if (!is_new) {
+    return;
+  }
+  this->settled_in_order.push_back(id);
+  if (this->settled_in_order.size() > max_settled) {
+    this->settled.erase(this->settled_in_order.front());
+    this->settled_in_order.pop_front();
+  }
+}
+
+// A late repeat must not be refused: the record of the first copy may be in the log.
+void peer_request_handler::leadership_lost() {
+  for (const request_id& id : std::set(this->storing)) {
+    this->settle(id, std::nullopt);
   }
 }
 
--- a/src/cell/peer_request_handler.h
+++ b/src/cell/peer_request_handler.h
@@ -3,6 +3,8 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -30,14 +32,15 @@
   void answer(const pending_request_message& request, const peer_address& from);
   void store(const std::string& sender, const store_request_message& request,
              const peer_address& from);
-  // This daemon no longer leads and will not store the records that are still pending.
-  void leadership_lost() { this->storing.clear(); }
+  // This daemon no longer leads. It will not learn whether the pending records are stored.
+  void leadership_lost();
 
  private:
   // Sender, and the number that it gave the request.
   using request_id = std::pair<std::string, std::int64_t>;
 
-  void mark_stored(const request_id& id);
+  // The request gets this answer from now on, or none.
+  void settle(const request_id& id, std::optional<store_answer_message> answer);
   void send_stored(const store_request_message& request, const peer_address& to,
                    store_answer_message answer);
 
@@ -51,10 +54,10 @@
   const std::function<bool()> leader_active;
   // Requests whose records are being appended to the log.
   std::set<request_id> storing;
-  // The most recent stored requests, oldest first in `stored_in_order`. A repeat gets the same
-  // answer.
-  std::set<request_id> stored;
-  std::deque<request_id> stored_in_order;
+  // What each of the most recent other requests was answered, oldest first in `settled_in_order`;
+  // empty if its record may be stored or not. A repeat gets the same.
+  std::map<request_id, std::optional<store_answer_message>> settled;
+  std::deque<request_id> settled_in_order;
 };
 
 }  // namespace monsoonmux::cell
