--- a/src/cell/peer_request_handler.cc
+++ b/src/cell/peer_request_handler.cc
@@ -64,6 +64,14 @@
   this->link.send({this->self.text, std::move(answer)}, to);
 }
 
+// The caller may have been told, so a copy that arrives later must not be stored either.
+void peer_request_handler::refuse(const request_id& id, const peer_address& from,
+                                  const failure& why) {
+  const store_answer_message answer{id.second, false, why.code, why.detail};
+  this->settle(id, answer);
+  this->link.send({this->self.text, answer}, from);
+}
+
 // A peer that is partitioned from the log may not have the newest configuration. If this
 // daemon's is newer, the caller is authorized again, except for a repeat of a request whose
 // record was accepted already. While this daemon cannot store records it does not answer; its
@@ -84,15 +92,14 @@
   if (request.version < this->jobs.config().version) {
     const auto identified = this->jobs.identify(request.host, request.path, request.caller_key);
     if (identified.has_error()) {
-      this->send_stored(request, from,
-                        {0, false, identified.error().code, identified.error().detail});
+      this->refuse(id, from, identified.error());
       return;
     }
   }
   const auto key = parse_key(request.record_key);
   if (!key || (key->kind != record_kind::submission && key->kind != record_kind::cancellation)) {
     this->events.write("peer_record_refused", {{"from", sender}, {"key", request.record_key}});
-    this->send_stored(request, from, {0, false, error_code::bad_request, "not a caller's record"});
+    this->refuse(id, from, not_run(error_code::bad_request, "not a caller's record"));
     return;
   }
   const job_record* const known = this->work.table().find(key->job);
--- a/src/cell/peer_request_handler.h
+++ b/src/cell/peer_request_handler.h
@@ -41,6 +41,7 @@
 
   // The request gets this answer from now on, or none.
   void settle(const request_id& id, std::optional<store_answer_message> answer);
+  void refuse(const request_id& id, const peer_address& from, const failure& why);
   void send_stored(const store_request_message& request, const peer_address& to,
                    store_answer_message answer);
 
--- a/src/cell/testing/peer_request_handler_test.cc
+++ b/src/cell/testing/peer_request_handler_test.cc
@@ -95,5 +95,19 @@
   CHECK(f.link.answers.empty());
 }
 
+TEST_CASE("A job that was refused is not stored when another copy of its request arrives late") {
+  handler_fixture f;
+  f.configure(2, {});
+  f.receive();
+  REQUIRE(f.link.answers.size() == 1);
+  REQUIRE_FALSE(f.link.answers.back().stored);
+  f.configure(3, {"key"});
+  f.receive();
+  CHECK(f.leader.on_stored.empty());
+  REQUIRE(f.link.answers.size() == 2);
+  CHECK_FALSE(f.link.answers.back().stored);
+  CHECK(f.link.answers.back().code == error_code::unauthorized);
+}
+
 }  // namespace
 }  // namespace monsoonmux::cell
