--- a/src/cell/testing/runner_session_test.cc
+++ b/src/cell/testing/runner_session_test.cc
@@ -259,6 +259,33 @@
   CHECK(f.commands.stops.back().task == "job.0.0.5");
 }
 
+TEST_CASE("A run whose first start got no answer is not lost by the refusal of a repeat") {
+  for (const command_status refusal :
+       {command_status::lease_expired, command_status::no_capacity, command_status::no_ticket,
+        command_status::refused, command_status::other_instance, command_status::not_sent}) {
+    INFO(to_string(refusal));
+    session_fixture f;
+    f.report({});
+    f.start("job.0.0.1");
+    f.commands.start_answers.back()({command_status::unknown, std::nullopt});
+    for (int repeat = 1; repeat < f.options.max_start_attempts; ++repeat) {
+      f.commands.start_answers.clear();
+      f.loop.run_for(f.options.retry);
+      f.session.tick();
+      if (f.commands.start_answers.empty() && !f.commands.answers.empty()) {
+        f.commands.report(f.state());  // The proof that a repeat may wait for.
+      }
+      if (!f.commands.start_answers.empty()) {
+        f.commands.start_answers.back()({refusal, std::nullopt});
+      }
+    }
+    CHECK(f.commands.starts.size() > 1);
+    CHECK(f.leader.lost.empty());
+    REQUIRE(f.commands.stops.size() == 1);
+    CHECK(f.commands.stops.back().task == "job.0.0.1");
+  }
+}
+
 TEST_CASE("A start is not sent to a runner that has restarted while it was idle") {
   session_fixture f;
   f.end_all_runs();
