--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -179,6 +179,12 @@
   bool is_awaited(const std::string& runner) const;
   // Logs what distinguishes the causes of an untracked run.
   void report_untracked_run(const std::string& runner, const run_key& run);
+  // Why the run was taken for over, or that this leader never tracked it.
+  std::string closed_as(const std::string& runner, const run_key& run) const;
+  // Logs and counts that another run of the task counts somewhere, so it may run twice.
+  void report_two_runs(const std::string& runner, const run_key& run);
+  // Logs and counts that the run is one too many for the AntiAffinity of its step.
+  void report_step_over_limit(const std::string& runner, const run_key& run);
   // Logs and counts that the runs which may be on the runner need more than its capacity.
   void check_capacity(const std::string& runner);
   bool release_capacity(const std::string& runner, const run_key& run);
--- a/src/cell/leader_takeover.cc
+++ b/src/cell/leader_takeover.cc
@@ -131,6 +131,8 @@
     this->state.teams.add(found.team, found.quota_used);
   }
   this->report_untracked_run(runner, run);
+  this->report_two_runs(runner, run);
+  this->report_step_over_limit(runner, run);
   this->check_capacity(runner);
 }
 
@@ -138,12 +140,10 @@
   nlohmann::ordered_json fields{{"runner", runner},
                                 {"task", run.task.text()},
                                 {"run", run.run},
-                                {"epoch", this->own_epoch.value}};
+                                {"epoch", this->own_epoch.value},
+                                {"closed_as", this->closed_as(runner, run)}};
   if (const auto earlier = this->closed.find(runner, run)) {
-    fields["closed_as"] = earlier->why;
     fields["closed_ms_ago"] = (this->services.time.now() - earlier->at).value;
-  } else {
-    fields["closed_as"] = "never_tracked";
   }
   const auto it = this->state.jobs.find(run.task.in.job);
   const live_task* const task = it == this->state.jobs.end() ? nullptr : it->second.find(run.task);
--- a/src/cell/testing/fake_cell.h
+++ b/src/cell/testing/fake_cell.h
@@ -325,8 +325,12 @@
   }
 
   static int log_descriptor() {
+    if (captured_log >= 0) {
+      return captured_log;
+    }
     return std::getenv("MONSOONMUX_ONLY_SEED") != nullptr ? 1 : ::open("/dev/null", O_WRONLY);
   }
+  static inline int captured_log = -1;       // Where a test reads the events, if it does.
   static constexpr millis max_lease{6'000};  // That commands ask for.
   static constexpr const char* second_path = "/second/";
   static constexpr const char* team_key = "key of t";
--- a/src/cell/testing/ledger_test.cc
+++ b/src/cell/testing/ledger_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "cell/testing/captured_events.h"
 #include "cell/testing/cell_checks.h"
 
 namespace monsoonmux::cell {
@@ -33,21 +34,25 @@
   }
 
   fake_runner& runner() { return *this->cell.runners[0]; }
-  void begin(const std::string& task) {
+  void begin(const std::string& task, std::size_t runner_index = 0) {
+    fake_runner& at = *this->cell.runners[runner_index];
     start_command command;
     command.task = task;
     command.run = 1;
-    command.lease_until_ms = this->runner().clock() + 6'000;
-    REQUIRE(this->runner().start(command).status == command_status::done);
+    command.lease_until_ms = at.clock() + 6'000;
+    REQUIRE(at.start(command).status == command_status::done);
   }
   // Lists the first runners, so that the leader polls them, and lets the stop of the
   // untracked run take half of its time.
   void list_runners(std::size_t count) {
     for (std::size_t i = 0; i < count; ++i) {
-      this->cell.store.put("runners", this->cell.runners[i]->entry.id, "1");
+      this->list(i);
     }
     this->cell.loop.run_for(millis{600});
   }
+  void list(std::size_t index) {
+    this->cell.store.put("runners", this->cell.runners[index]->entry.id, "1");
+  }
   // A counter of the leader's daemon.
   std::int64_t count_of(const std::string& name) const {
     return this->cell.nodes[0]->metrics.counts_of(name)[name];
@@ -125,6 +130,78 @@
   CHECK(over.count_of("runners_over_capacity") > 0);
 }
 
+TEST_CASE("A second run of a task that is placed elsewhere does not pass uncounted") {
+  const captured_events events;
+  const job_spec spec = fake_cell::simple_job(1);
+  ledger_fixture f(job + ".0.0.0", spec);
+  f.cell.runners[1]->task_time = millis{60'000};
+  f.cell.submit(0, job, spec);
+  f.list(1);
+  f.cell.loop.run_for(millis{600});
+  REQUIRE(f.starts() == 1);
+  CHECK(f.count_of("tasks_with_two_runs") == 0);
+  f.list_runners(1);
+  CHECK(f.count_of("tasks_with_two_runs") == 1);
+  const auto found = events.named("task_has_two_runs");
+  REQUIRE(found.size() == 1);
+  CHECK(found[0].at("task") == job + ".0.0.0");
+  CHECK(found[0].at("run") == 1);
+  CHECK(found[0].at("runner") == "i-0");
+  CHECK(found[0].at("closed_as") == "never_tracked");
+  CHECK(found[0].at("other_run") == 1);
+  CHECK(found[0].at("other_runner") == "i-1");
+  CHECK(found[0].at("other_untracked") == false);
+}
+
+TEST_CASE("Two runs of a task that no leader tracks do not pass uncounted") {
+  const captured_events events;
+  const job_spec spec = fake_cell::simple_job(1);
+  ledger_fixture f(job + ".0.0.0", spec);
+  f.begin(job + ".0.0.0", 1);
+  f.cell.submit(0, job, spec);
+  f.list_runners(2);
+  CHECK(f.count_of("tasks_with_two_runs") == 1);
+  const auto found = events.named("task_has_two_runs");
+  REQUIRE(found.size() == 1);
+  CHECK(found[0].at("other_untracked") == true);
+}
+
+// The leader finds runs of these tasks, and nothing else of the job has started.
+std::int64_t over_limit_events(const std::vector<std::string>& tasks, std::int32_t limit) {
+  const captured_events events;
+  job_spec spec = fake_cell::simple_job(4);
+  spec.steps[0].anti_affinity = limit;
+  ledger_fixture f(tasks.front(), spec);
+  for (std::size_t i = 1; i < tasks.size(); ++i) {
+    f.begin(tasks[i]);
+  }
+  f.cell.submit(0, job, spec);
+  f.list_runners(1);
+  const auto found = events.named("step_over_limit");
+  CHECK(f.count_of("steps_over_limit") == static_cast<std::int64_t>(found.size()));
+  for (const auto& each : found) {
+    CHECK(each.at("runner") == "i-0");
+    CHECK(each.at("step") == job + ".0.0");
+    CHECK(each.at("task") == tasks.back());
+    CHECK(each.at("run") == 1);
+    CHECK(each.at("tasks") == limit + 1);
+    CHECK(each.at("limit") == limit);
+    CHECK(each.at("closed_as") == "never_tracked");
+  }
+  return static_cast<std::int64_t>(found.size());
+}
+
+TEST_CASE("More tasks of a step on a runner than its AntiAffinity do not pass uncounted") {
+  CHECK(over_limit_events({job + ".0.0.0", job + ".0.0.1"}, 1) == 1);
+  CHECK(over_limit_events({job + ".0.0.0", job + ".0.0.1", job + ".0.0.2"}, 2) == 1);
+}
+
+TEST_CASE("Tasks that their AntiAffinity allows on a runner are not counted as too many") {
+  CHECK(over_limit_events({job + ".0.0.0", job + ".0.0.1"}, 0) == 0);
+  CHECK(over_limit_events({job + ".0.0.0", job + ".0.0.1"}, 2) == 0);
+  CHECK(over_limit_events({job + ".0.0.0", job + ".1.0.0"}, 1) == 0);
+}
+
 TEST_CASE("Of each runner's closed runs, the last ones are remembered with their reason") {
   closed_runs closed;
   const auto run = [](std::size_t number) {
