--- a/src/http/testing/http_test.cc
+++ b/src/http/testing/http_test.cc
@@ -1,11 +1,12 @@
-#include <asio/buffer.hpp>
-#include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
-#include <asio/read_until.hpp>
-#include <asio/write.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <future>
+#include <string>
 #include <thread>
 
 #include "http/client_pool.h"
@@ -32,54 +33,62 @@
   respond(answer);
 }
 
-// Answers the first request, reads all that follow, and closes their connections.
+// Answers the first request, reads all that follow, and closes their connections. Has plain
+// sockets, as the servers of the other tests run event loops of their own.
 class closing_server {
  public:
-  closing_server() : thread([this] { this->serve(); }) {}
+  closing_server() {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto* const generic = reinterpret_cast<sockaddr*>(&address);
+    REQUIRE(::bind(this->listener, generic, size) == 0);
+    REQUIRE(::listen(this->listener, SOMAXCONN) == 0);
+    REQUIRE(::getsockname(this->listener, generic, &size) == 0);
+    this->port = ntohs(address.sin_port);
+    this->thread = std::thread([this] { this->serve(); });
+  }
   ~closing_server() {
-    this->stopping = true;
-    this->wake();
+    ::shutdown(this->listener, SHUT_RDWR);  // Ends accept().
     this->thread.join();
+    ::close(this->listener);
   }
   closing_server(const closing_server&) = delete;
   closing_server& operator=(const closing_server&) = delete;
 
-  std::string url() const {
-    return "http://127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port()) + "/";
-  }
+  std::string url() const { return "http://127.0.0.1:" + std::to_string(this->port) + "/"; }
   int requests_read() const { return this->requests; }
 
  private:
-  void wake() {
-    asio::ip::tcp::socket socket(this->io);
-    asio::error_code ignored;
-    socket.connect(this->acceptor.local_endpoint(), ignored);
-  }
-
   void serve() {
-    while (!this->stopping) {
-      asio::ip::tcp::socket socket = this->acceptor.accept();
-      this->serve(socket);
+    for (int peer = ::accept(this->listener, nullptr, nullptr); peer >= 0;
+         peer = ::accept(this->listener, nullptr, nullptr)) {
+      while (this->read_request(peer) && ++this->requests == 1) {
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        ::send(peer, answer.data(), answer.size(), MSG_NOSIGNAL);
+      }
+      ::close(peer);
     }
   }
 
-  void serve(asio::ip::tcp::socket& socket) {
+  // False if the peer closes the connection instead.
+  bool read_request(int peer) const {
     std::string received;
-    asio::error_code error;
-    while (asio::read_until(socket, asio::dynamic_buffer(received), "body!", error) > 0) {
-      received.clear();
-      if (++this->requests > 1) {
-        return;
+    std::array<char, 1'024> part{};
+    while (received.find("body!") == std::string::npos) {
+      const ssize_t size = ::recv(peer, part.data(), part.size(), 0);
+      if (size <= 0) {
+        return false;
       }
-      const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-      asio::write(socket, asio::buffer(answer), error);
+      received.append(part.data(), static_cast<std::size_t>(size));
     }
+    return true;
   }
 
-  asio::io_context io;
-  asio::ip::tcp::acceptor acceptor{this->io, {asio::ip::make_address("127.0.0.1"), 0}};
+  const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int port = 0;
   std::atomic<int> requests = 0;
-  std::atomic<bool> stopping = false;
   std::thread thread;
 };
 
