--- a/src/cell/runner_session_commands.cc
+++ b/src/cell/runner_session_commands.cc
@@ -72,6 +72,8 @@
     return;
   }
   tracked_run& tracked = it->second;
+  // A report has listed the run meanwhile, so an earlier start was executed.
+  const bool is_listed = tracked.answered_at != instant{0} && !tracked.stopping;
   switch (answer.status) {
     case command_status::done:
     case command_status::stale_run:
@@ -97,13 +99,14 @@
       break;
     case command_status::no_ticket:
       this->leader.ticket_refused(this->id, run);
-      this->start_refused(run, tracked, to_string(answer.status));
-      return;
+      [[fallthrough]];
     default:
-      this->start_refused(run, tracked, to_string(answer.status));
+      if (!is_listed) {
+        this->start_refused(run, tracked, to_string(answer.status));
+      }
       return;
   }
-  if (!tracked.stopping) {
+  if (!tracked.stopping && !is_listed) {
     this->retry_start(run, tracked, to_string(answer.status));
   }
 }
--- a/src/cell/testing/runner_session_test.cc
+++ b/src/cell/testing/runner_session_test.cc
@@ -286,6 +286,40 @@
   }
 }
 
+TEST_CASE("A run that its runner lists is not stopped because a repeat of its start is refused") {
+  for (const command_status refusal :
+       {command_status::lease_expired, command_status::no_capacity, command_status::no_ticket,
+        command_status::refused, command_status::not_sent}) {
+    INFO(to_string(refusal));
+    session_fixture f;
+    f.report({});
+    f.start("job.0.0.1");
+    poll_report with_run = f.state();
+    with_run.running.push_back({"job.0.0.1", 1, "", 100});
+    for (int attempt = 1; attempt < f.options.max_start_attempts; ++attempt) {
+      f.commands.start_answers.back()({command_status::unknown, std::nullopt});
+      f.loop.run_for(f.options.retry);
+      f.commands.report(f.state());  // Of the proof, which the repeat waits for.
+      f.session.tick();
+    }
+    REQUIRE(f.commands.starts.size() == static_cast<std::size_t>(f.options.max_start_attempts));
+    while (!f.commands.answers.empty()) {
+      with_run.clock_ms = f.clock();
+      f.commands.report(with_run);
+      if (f.session.known_to_run({*parse_task_ref("job.0.0.1"), 1}) > millis{0}) {
+        break;
+      }
+      f.loop.run_for(millis{50});
+      f.session.tick();
+    }
+    f.commands.start_answers.back()({refusal, std::nullopt});
+    f.loop.run_for(f.options.retry);
+    f.session.tick();
+    CHECK(f.commands.stops.empty());
+    CHECK(f.leader.lost.empty());
+  }
+}
+
 TEST_CASE("A start is not sent to a runner that has restarted while it was idle") {
   session_fixture f;
   f.end_all_runs();
