--- a/src/cell/testing/fake_runner_port.h
+++ b/src/cell/testing/fake_runner_port.h
@@ -48,6 +48,7 @@
   }
 
   std::int64_t sent = 0;  // Number of calls.
+  std::int64_t lost = 0;  // Those that reached their runner, and got no answer from it.
 
  private:
   static constexpr millis latency{1};
@@ -118,23 +119,27 @@
       return;
     }
     refused.status = command_status::other_instance;
-    this->loop.after(latency + this->delay(*runner), [this, runner, settle, serve, incarnation,
-                                                      refused, instance = target.instance] {
-      if (!runner->up || !runner->reachable(this->daemon)) {
-        return;
-      }
-      if (!accepts(*runner, instance)) {
-        this->process.after(latency, [settle, refused] { settle(refused); });
-        return;
-      }
-      const bool lost = this->loses_answer(*runner);
-      serve(*runner, [this, runner, settle, incarnation, lost](const Answer& value) {
-        if (!lost && runner->reachable(this->daemon) &&
-            this->process.current_incarnation() == incarnation) {
-          this->process.after(latency + this->delay(*runner), [settle, value] { settle(value); });
-        }
-      });
-    });
+    this->loop.after(
+        latency + this->delay(*runner),
+        [this, runner, settle, serve, incarnation, no_answer, refused, instance = target.instance] {
+          if (!runner->up || !runner->reachable(this->daemon)) {
+            return;
+          }
+          if (!accepts(*runner, instance)) {
+            this->process.after(latency, [settle, refused] { settle(refused); });
+            return;
+          }
+          const bool lost = this->loses_answer(*runner);
+          this->lost += lost ? 1 : 0;
+          serve(*runner, [this, runner, settle, incarnation, lost, no_answer](const Answer& value) {
+            if ((lost && !runner->closes_unanswered) || !runner->reachable(this->daemon) ||
+                this->process.current_incarnation() != incarnation) {
+              return;
+            }
+            const Answer seen = lost ? no_answer : value;
+            this->process.after(latency + this->delay(*runner), [settle, seen] { settle(seen); });
+          });
+        });
   }
 
   millis delay(const fake_runner& runner) {
--- a/src/cell/testing/fake_runners.h
+++ b/src/cell/testing/fake_runners.h
@@ -7,6 +7,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "async/event_log.h"
@@ -21,7 +22,8 @@
 
 // A runner that behaves as the platform specifies: it keeps leases on its own clock, checks
 // fencing tokens and tickets, lists numbered ends until they are acknowledged, and may execute
-// commands late.
+// commands late. It refuses no run but those that the platform promises to refuse, so it starts a
+// higher or lower run of a task beside one that is running.
 class fake_runner {
  public:
   fake_runner(fake_loop& loop, run_history& history, event_log& events, std::string id,
@@ -43,6 +45,7 @@
   std::set<std::string> cut_off;      // Daemons beyond the cut around a failure domain.
   std::set<std::string> unanswered;   // Daemons whose commands arrive, but get no answer.
   double lost_answers = 0;            // Fraction of calls executed at once, unanswered.
+  bool closes_unanswered = false;     // Their connections close, so their callers need not wait.
   millis slow_link{0};                // Calls and answers take up to so much longer.
   double late_commands = 0;           // Fraction of commands executed seconds later, unanswered.
   double late_polls = 0;              // The same of polls alone.
@@ -94,13 +97,11 @@
       return out;
     }
     const auto closed = this->closed.find(command.task);
-    const auto running = this->runs.find(command.task);
-    if (running != this->runs.end() && running->second.run == command.run) {
+    if (this->runs.contains({command.task, command.run})) {
       this->extend(until_ms);
       return out;
     }
-    if ((closed != this->closed.end() && command.run <= closed->second) ||
-        running != this->runs.end()) {
+    if (closed != this->closed.end() && command.run <= closed->second) {
       this->extend(until_ms);
       out.status = command_status::stale_run;
       return out;
@@ -118,8 +119,8 @@
     }
     int& highest = this->closed[command.task];
     highest = std::max(highest, command.run);
-    const auto it = this->runs.find(command.task);
-    if (it != this->runs.end() && it->second.run <= command.run) {
+    for (auto it = this->runs.lower_bound({command.task, 0});
+         it != this->runs.end() && it->first <= run_name{command.task, command.run}; ++it) {
       it->second.ends = std::min(it->second.ends, this->loop.now() + this->stop_time);
       it->second.how = run_outcome::stopped;
     }
@@ -148,8 +149,8 @@
     out.status = command_status::done;
     out.report.incarnation = this->entry.incarnation;
     out.report.clock_ms = this->clock();
-    for (const auto& [task, run] : this->runs) {
-      out.report.running.push_back({task, run.run, {}, 100});
+    for (const auto& [run, state] : this->runs) {
+      out.report.running.push_back({run.first, run.second, {}, 100});
     }
     out.report.finished = this->finished;
     return out;
@@ -165,8 +166,8 @@
   void crash() {
     this->log_event("runner_crashes", "", 0);
     this->history.crashed_incarnations.insert({this->entry.id, this->entry.incarnation});
-    for (const auto& [task, run] : this->runs) {
-      this->history.crashed_under(task);
+    for (const auto& [run, state] : this->runs) {
+      this->history.crashed_under(run.first);
     }
     for (const finished_run& end : this->finished) {
       ++this->history.crashes_with_end[end.task];
@@ -211,8 +212,9 @@
   }
 
  private:
+  using run_name = std::pair<std::string, int>;  // The task and the number of the run.
+
   struct run_state {
-    int run = 0;
     instant ends;
     run_outcome how = run_outcome::done;
     millis waited{0};  // For the other members of its gang.
@@ -220,8 +222,8 @@
 
   void go_down() {
     this->up = false;
-    for (const auto& [task, run] : this->runs) {
-      this->history.end(this->entry.id, task, run.run, false);
+    for (const auto& [run, state] : this->runs) {
+      this->history.end(this->entry.id, run.first, run.second, false);
     }
     this->runs.clear();
   }
@@ -273,11 +275,10 @@
     this->log_event("runner_starts", command.task, command.run);
     this->history.begin(this->loop.now(), this->entry, command.task, command.run);
     run_state run;
-    run.run = command.run;
     run.ends = this->loop.now() + this->run_time(command.task);
     const bool fails = this->chance(this->failure_rate);
     run.how = fails ? run_outcome::failed : run_outcome::done;
-    this->runs[command.task] = run;
+    this->runs[{command.task, command.run}] = run;
     if (this->history.is_deadly(command.task)) {
       this->loop.after(this->crash_delay, [this, incarnation = this->entry.incarnation] {
         if (this->entry.incarnation == incarnation) {
@@ -287,15 +288,16 @@
     }
   }
 
-  void finish(const std::string& task, const run_state& run, run_outcome how) {
-    this->log_event("runner_ends_" + std::string(to_string(how)), task, run.run);
-    this->finished.push_back({this->next_end++, task, run.run, how, {}});
+  void finish(const run_name& name, run_outcome how) {
+    const auto& [task, run] = name;
+    this->log_event("runner_ends_" + std::string(to_string(how)), task, run);
+    this->finished.push_back({this->next_end++, task, run, how, {}});
     int& highest = this->closed[task];
-    highest = std::max(highest, run.run);
+    highest = std::max(highest, run);
     if (how == run_outcome::failed) {
-      this->history.failed_runs[task].insert(run.run);
+      this->history.failed_runs[task].insert(run);
     }
-    this->history.end(this->entry.id, task, run.run, how == run_outcome::done);
+    this->history.end(this->entry.id, task, run, how == run_outcome::done);
     if (how == run_outcome::failed) {
       ++this->history.failures[task];
     }
@@ -304,8 +306,8 @@
   // A member of a gang makes no progress alone, and gives up after a while.
   void wait_for_gangs(millis time) {
     constexpr millis gang_timeout{4'000};
-    for (auto& [task, run] : this->runs) {
-      if (run.how == run_outcome::stopped || !this->history.alone(task, run.run)) {
+    for (auto& [name, run] : this->runs) {
+      if (run.how == run_outcome::stopped || !this->history.alone(name.first, name.second)) {
         continue;
       }
       run.ends = run.ends + time;
@@ -332,7 +334,7 @@
         ++it;
         continue;
       }
-      this->finish(it->first, it->second, over ? it->second.how : run_outcome::lapsed);
+      this->finish(it->first, over ? it->second.how : run_outcome::lapsed);
       it = this->runs.erase(it);
     }
   }
@@ -341,8 +343,8 @@
   run_history& history;
   event_log& events;
   std::mt19937 random;
-  std::map<std::string, run_state> runs;
-  std::map<std::string, int> closed;
+  std::map<run_name, run_state> runs;
+  std::map<std::string, int> closed;  // The highest run of each task that was stopped or has ended.
   std::vector<finished_run> finished;
   fencing_token token{0};
   std::int64_t until = 0;
--- a/src/cell/testing/fault_rig_test.cc
+++ b/src/cell/testing/fault_rig_test.cc
@@ -62,6 +62,54 @@
   CHECK(status == command_status::unknown);
 }
 
+start_command start_of(const fake_runner& runner, int run) {
+  start_command out;
+  out.target = {runner.entry.address, runner.entry.id, fencing_token{9}};
+  out.task = "j.0.0.0";
+  out.run = run;
+  out.lease_until_ms = runner.clock() + 6'000;
+  return out;
+}
+
+TEST_CASE("No caller waits for an answer whose connection has closed") {
+  fake_cell cell(1, 1, 1);
+  fake_runner& runner = *cell.runners[0];
+  runner.lost_answers = 1;
+  runner.closes_unanswered = true;
+  std::optional<command_status> status;
+  cell.nodes[0]->commands.start(start_of(runner, 1),
+                                [&](const command_answer& a) { status = a.status; });
+  cell.loop.run_for(millis{10});
+  CHECK(cell.history.starts == 1);
+  CHECK(cell.nodes[0]->commands.lost == 1);
+  CHECK(status == command_status::unknown);
+}
+
+TEST_CASE("A runner refuses no other runs than the platform promises to refuse") {
+  fake_cell cell(1, 1, 1);
+  fake_runner& runner = *cell.runners[0];
+  const auto status_of = [&runner](int run) { return runner.start(start_of(runner, run)).status; };
+  for (const int run : {2, 3, 1}) {
+    CHECK(status_of(run) == command_status::done);
+  }
+  CHECK(cell.history.starts == 3);
+  CHECK(status_of(2) == command_status::done);
+  CHECK(cell.history.starts == 3);
+  runner.stop({start_of(runner, 2).target, "j.0.0.0", 2});
+  cell.loop.run_for(runner.stop_time);
+  cell.loop.run_for(runner.stop_time);
+  for (const int run : {1, 2}) {
+    CHECK(status_of(run) == command_status::stale_run);
+  }
+  poll_request request;
+  request.target = start_of(runner, 3).target;
+  const poll_report report = runner.poll(request).report;
+  CHECK(report.finished.size() == 2);
+  REQUIRE(report.running.size() == 1);
+  CHECK(report.running[0].run == 3);
+  CHECK(status_of(4) == command_status::done);
+}
+
 // The answer to a start of a task of a queue with advice that carries this ticket.
 command_status start_with(fake_runner& runner, const fake_ticket& ticket) {
   start_command command;
