--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -325,11 +325,18 @@
 void runner_session::close_expired() {
   const instant now = this->time.now();
   std::vector<std::pair<run_key, std::string_view>> expired;
+  // What was never sent cannot have crashed the runner.
+  const auto may_have_begun = [](const tracked_run& tracked) {
+    return tracked.recovered || tracked.command.lease_until_ms != 0 ||
+           tracked.answered_at != instant{0};
+  };
   for (const auto& [run, tracked] : this->runs) {
     if (!this->has_expired(tracked, now)) {
       continue;
     }
-    const std::string_view why = this->crashed_under(tracked) ? "runner_crashed" : "lease_lapsed";
+    const std::string_view lapsed =
+        this->crashed_under(tracked) ? "runner_crashed" : "lease_lapsed";
+    const std::string_view why = may_have_begun(tracked) ? lapsed : "not_sent";
     this->log_closed(run, tracked, why);
     expired.emplace_back(run, why);
   }
--- a/src/cell/testing/random_fault_test.cc
+++ b/src/cell/testing/random_fault_test.cc
@@ -334,6 +334,12 @@
   });
 }
 
+// The leader wakes from a freeze and places on a runner that has restarted meanwhile.
+TEST_CASE("A run counts as a crash of its runner although its start was never sent") {
+  constexpr std::uint32_t seed = 479;
+  long_fault_play(seed, false, [](fake_cell& given) { require_tickets(given, seed); });
+}
+
 // Runners come back as others, and no two tasks of a step may share a runner.
 void play_changing_kinds(std::uint32_t seed, bool with_agents, kind_change how, bool with_advice) {
   INFO("seed " << seed << (with_agents ? ", through agents" : ""));
