--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -13,8 +13,6 @@
 
 #include <mutex>
 
-#include "http/single_sending.h"
-
 namespace monsoonmux {
 namespace {
 
@@ -138,9 +136,6 @@
   curl_easy_setopt(h, CURLOPT_WRITEDATA, &r);
   curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, on_header);
   curl_easy_setopt(h, CURLOPT_HEADERDATA, &r);
-  if (request.method != "GET" && request.method != "HEAD") {
-    send_at_most_once(h);
-  }
   if (!request.body.empty() || request.method == "POST" || request.method == "PUT" ||
       request.method == "PATCH") {
     curl_easy_setopt(h, CURLOPT_POSTFIELDS, request.body.data());
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -17,7 +17,8 @@
   std::string body;
   millis timeout{5'000};
   std::size_t max_answer_bytes = 64 << 20;
-  // Opens a new connection, so that the request does not fail because a kept one has closed.
+  // Opens a new connection. Needed for requests that must run at most once: if a
+  // reused connection turns out to be closed, libcurl resends the request by itself.
   bool fresh_connection = false;
 };
 
@@ -33,9 +34,8 @@
 // requests.
 //
 // send() blocks until the complete answer has arrived. It fails with not_run only
-// if no byte of the request was sent; otherwise the request may have run. A request
-// that is neither GET nor HEAD reaches the peer at most once. A connection on which a
-// request failed is closed. Not thread-safe.
+// if no byte of the request was sent; otherwise the request may have run. A
+// connection on which a request failed is closed. Not thread-safe.
 class http_client {
  public:
   http_client();
