--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,6 +6,7 @@
 cmake --build target --target mmx_adapter -j8
 out=target/review-2
 mkdir -p "$out"
+rm -f "$out"/*.o
 flags="-std=c++20 -O1 -Wall -I. -Isrc -Ireview -DASIO_STANDALONE -DRESTINIO_USE_EXTERNAL_EXPECTED_LITE=0"
 pids=
 for source in review/rig-2.cc review/cases-2.cc platform/testing/soak/soak_store.cc \
--- a/review/rig-2.cc
+++ b/review/rig-2.cc
@@ -49,23 +49,6 @@
   return {.status = status, .headers = {}, .body = body.dump()};
 }
 
-// A record of an append over RecordBytes.
-bool has_oversized_record(const std::string& body) {
-  constexpr std::size_t record_bytes = 262'144;
-  constexpr std::size_t length_bytes = 4;
-  for (std::size_t at = 0; at + length_bytes <= body.size();) {
-    std::size_t length = 0;
-    for (std::size_t i = 0; i < length_bytes; ++i) {
-      length = (length << 8U) | static_cast<unsigned char>(body[at + i]);
-    }
-    if (length > record_bytes) {
-      return true;
-    }
-    at += length_bytes + length;
-  }
-  return false;
-}
-
 bool is_free(const std::string& host, std::uint16_t port) {
   asio::io_context io;
   asio::ip::tcp::acceptor acceptor(io);
@@ -81,8 +64,8 @@
   constexpr int parts = 200;
   int id = static_cast<int>(getpid());
   for (int tries = 0; tries < parts; ++tries, id += 7) {
-    const std::string net =
-        "127." + std::to_string(1 + id / parts % parts) + "." + std::to_string(1 + id % parts) + ".";
+    const std::string net = "127." + std::to_string(1 + id / parts % parts) + "." +
+                            std::to_string(1 + id % parts) + ".";
     if (is_free(net + std::to_string(first_daemon_host), callers_port) &&
         is_free(net + std::to_string(first_store_host), store_port) &&
         is_free(net + std::to_string(runner_host), runner_port)) {
@@ -349,7 +332,7 @@
   this->beats = 0;
   this->listener->open();
   this->in.note("runner_starts_again", {{"runner", this->id}, {"born", this->born}});
-  this->in.store->put("keyed.servers", this->id, this->listing().dump());
+  this->in.list(*this);
 }
 
 rig::rig(const rig_options& given) : options(given), net(free_network()) {
@@ -365,8 +348,8 @@
   }
   this->events = std::make_unique<cell::event_log>(
       file, this->time, "script", cell::event_log_options{.buffer_bytes = 64 * 1'024 * 1'024});
-  this->store = std::make_unique<soak::soak_store>(this->loop, this->time, *this->events,
-                                                   given.daemons, 1);
+  this->store =
+      std::make_unique<soak::soak_store>(this->loop, this->time, *this->events, given.daemons, 1);
   this->transport = std::make_unique<cell::http_transport>(
       this->io, this->metrics,
       cell::transport_options{.name = "client", .connections_per_peer = 8});
@@ -390,9 +373,9 @@
     const std::string none = "advice: \"\"";
     const std::size_t found = rendered.find(none);
     if (given.advice && found != std::string::npos) {
-      rendered.replace(found, none.size(),
-                       "advice: \"" + at(this->net + std::to_string(runner_host), advice_port) +
-                           "\"");
+      rendered.replace(
+          found, none.size(),
+          "advice: \"" + at(this->net + std::to_string(runner_host), advice_port) + "\"");
     }
     const std::string path = this->directory + "/" + s.daemon + ".yaml";
     std::ofstream(path) << rendered;
@@ -401,11 +384,6 @@
     this->stores.push_back(std::make_unique<soak::faulty_listener>(
         this->io, this->net + std::to_string(first_store_host + i), store_port,
         [this, i](const http_request& request, const http_respond& respond) {
-          if (request.path == "/v1/log-append" && has_oversized_record(request.body)) {
-            ++this->oversized;
-            respond(answer(400, json::object()));
-            return;
-          }
           this->store->handle(i, "", request, respond);
         }));
     this->stores.back()->open();
@@ -485,10 +463,26 @@
   this->note("configuration", {{"version", this->version}, {"routes", names}});
 }
 
+void rig::list(small_runner& runner) {
+  this->store->put("keyed.servers", runner.id, runner.listing().dump());
+  runner.listed_at = this->time.now();
+}
+
+// An entry goes after three heartbeat intervals of silence.
+void rig::drop_silent() {
+  for (const auto& runner : this->runners) {
+    if (runner->listed_at > instant{0} && this->time.now() - runner->listed_at > heartbeat * 3) {
+      runner->listed_at = instant{0};
+      this->store->put("keyed.servers", runner->id, "");
+      this->note("entry_removed", {{"runner", runner->id}});
+    }
+  }
+}
+
 void rig::list_all() {
   for (const auto& runner : this->runners) {
     if (runner->is_up) {
-      this->store->put("keyed.servers", runner->id, runner->listing().dump());
+      this->list(*runner);
     }
   }
   this->loop.after(heartbeat, [this] { this->list_all(); });
@@ -499,6 +493,7 @@
   for (const auto& runner : this->runners) {
     runner->advance();
   }
+  this->drop_silent();
   this->store->advance();
   this->reap();
   this->events->flush();
@@ -662,9 +657,8 @@
 
 int rig::count_runs(const std::string& job, const std::string& how) const {
   return static_cast<int>(std::count_if(
-      this->notes.begin(), this->notes.end(), [&](const run_note& n) {
-        return job_of(n.task) == job && (how.empty() || n.how == how);
-      }));
+      this->notes.begin(), this->notes.end(),
+      [&](const run_note& n) { return job_of(n.task) == job && (how.empty() || n.how == how); }));
 }
 
 }  // namespace monsoonmux::review
--- a/review/rig-2.h
+++ b/review/rig-2.h
@@ -58,15 +58,16 @@
   small_runner(rig& in, int number);
   void handle(const http_request& request, const http_respond& respond);
   void advance();
-  void crash();    // Silent at once; connections are reset.
+  void crash();            // Silent at once; connections are reset.
   void cut_off(bool cut);  // From all daemons; the platform still hears of it.
-  void restart();  // Under its id, knowing nothing of before.
+  void restart();          // Under its id, knowing nothing of before.
   bool runs_something() const { return !this->runs.empty(); }
   bool runs_task(const std::string& task) const { return this->runs.count(task) != 0; }
   json listing() const;
 
   const std::string id;
   bool is_up = true;
+  instant listed_at{0};  // When the platform last heard of it; 0: its entry is gone.
   // Called before a call is executed; true: it takes the call over.
   std::function<bool(const http_request&, const http_respond&)> intercept;
   void execute(const http_request& request, const http_respond& respond);
@@ -133,6 +134,7 @@
   // The first state that a daemon gives; asks each.
   std::string any_state(const std::string& prefix, const std::string& id);
   void write_config();
+  void list(small_runner& runner);
   // Starts that were executed, and their ends.
   std::vector<run_note> notes;
   int count_runs(const std::string& job, const std::string& how) const;
@@ -155,8 +157,7 @@
   std::vector<std::string> broken;
   std::string directory;
   int refused_starts = 0;  // Without their ticket.
-  int oversized = 0;  // Appends with a record over RecordBytes, refused with 400.
-  int daemon_ends = 0;  // Processes that ended by themselves.
+  int daemon_ends = 0;     // Processes that ended by themselves.
   bool dead(int daemon) const { return this->pids[static_cast<std::size_t>(daemon)] <= 0; }
   void start_daemon(int daemon);
   void signal_daemon(int daemon, int number);
@@ -165,6 +166,7 @@
  private:
   std::string caller_address(int daemon) const;
   void list_all();
+  void drop_silent();
   void tick();
   void reap();
   void advise(const http_request& request, const http_respond& respond);
