--- a/review/cases-2.cc
+++ b/review/cases-2.cc
@@ -270,6 +270,13 @@
   if (r.submit(0, "/a/", id, {{"Spec", "0:0"}, {"Steps", {lasting}}}) != 200) {
     return false;
   }
+  // Lasting tasks on all runners, so that each of them is sent orders.
+  json others = step(16, 2'000, 2'000, 400);
+  others["LongRunning"] = true;
+  others["AntiAffinity"] = 2;
+  if (r.submit(1, "/a/", job_id(2), {{"Spec", "0:0"}, {"Steps", {others}}}) != 200) {
+    return false;
+  }
   const auto holders = [&] {
     std::vector<small_runner*> out;
     for (const auto& runner : r.runners) {
@@ -307,6 +314,7 @@
         http_request later = request;
         later.body = body.dump();
         r.note("order_left_unanswered", {{"runner", at.id}, {"late_ms", late_by.value}});
+        r.orders = 1;
         r.loop.after(late_by, [&r, &at, later] {
           r.note("order_carried_out_late", {{"runner", at.id}, {"body", later.body}});
           at.execute(later, [](const http_response&) {});
@@ -320,6 +328,7 @@
       at.cut_off(true);
       r.pump(cut_time);
       at.cut_off(false);
+      r.note("orders_since_the_late_one", {{"to_all_runners", r.orders}});
       at.intercept = nullptr;
     }
     const instant until = r.time.now() + millis{8'000};
--- a/review/rig-2.cc
+++ b/review/rig-2.cc
@@ -130,6 +130,7 @@
     respond(answer(421, json::object()));
     return;
   }
+  ++this->in.orders;
   if (!this->intercept || !this->intercept(request, respond)) {
     this->execute(request, respond);
   }
--- a/review/rig-2.h
+++ b/review/rig-2.h
@@ -156,6 +156,7 @@
   std::set<std::string> ticketed_jobs;  // Their starts need a ticket.
   std::vector<std::string> broken;
   std::string directory;
+  int orders = 0;          // Calls to runners.
   int refused_starts = 0;  // Without their ticket.
   int daemon_ends = 0;     // Processes that ended by themselves.
   bool dead(int daemon) const { return this->pids[static_cast<std::size_t>(daemon)] <= 0; }
