run_closed tells how many leases were in doubt when a runner went

Change: run_closed has the commands in doubt (late_leases), the time from the runner's last sign of life to the end of its lease if they come late (late_ms), and whether the task lasts. lease_expiry reckons that end for runs that are there already: a late command extends their lease only while it has not ended. Nothing decides by it yet.

--- a/src/cell/lease_expiry.cc
+++ b/src/cell/lease_expiry.cc
@@ -16,6 +16,14 @@
   return longest_real_time(lease) + expiry_margin;
 }
 
+// What a command means to a run that the runner has begun already: it extends that run's lease, and
+// is executed by the same incarnation.
+lease_grant for_begun_run(lease_grant grant) {
+  grant.begins_run = false;
+  grant.lease_if_late = grant.lease;
+  return grant;
+}
+
 }  // namespace
 
 std::int64_t lease_expiry::sent(const lease_grant& grant) {
@@ -94,16 +102,19 @@
   instant others = std::max(this->settled, this->inherited_if_late);
   this->latest_in_time = this->settled;
   std::vector<lease_grant> late_grants;
+  std::vector<lease_grant> late_extensions;
   for (const auto& [number, each] : this->open) {
     const instant in_time = each.grant.sent + expiry_time(each.grant.lease);
     this->latest_in_time = std::max(this->latest_in_time, in_time);
     if (each.late) {
       late_grants.push_back(each.grant);
+      late_extensions.push_back(for_begun_run(each.grant));
     } else {
       others = std::max(others, in_time);
     }
   }
   this->latest = this->extended_by(std::move(late_grants), others);
+  this->latest_of_begun = this->extended_by(std::move(late_extensions), this->latest_in_time);
 }
 
 }  // namespace monsoonmux::cell
--- a/src/cell/lease_expiry.h
+++ b/src/cell/lease_expiry.h
@@ -45,6 +45,10 @@
   instant end_if_unanswered() const;
   // The same if no command is executed late.
   instant end_if_in_time() const { return this->latest_in_time; }
+  // Until when the leases of the runs last that the runner has begun already, by commands of this
+  // leader that may be executed late and by those of previous leaders in time. A late command
+  // extends the lease of a run only as long as that has not ended.
+  instant end_of_begun() const { return this->latest_of_begun; }
   // Returns the number of the grant.
   std::int64_t sent(const lease_grant& grant);
   // The command was executed in time, or refused.
@@ -55,6 +59,7 @@
   void fenced(instant now);
   // True if a command without an answer may still be executed. No further lease should be granted.
   bool has_late_grants() const { return this->late > 0; }
+  std::int64_t late_grants() const { return this->late; }
   // True if fenced() has something to settle.
   bool awaits_fence() const { return this->has_late_grants() || !this->is_inherited_fenced; }
   // A command with a lease that no grant here describes was executed by `now`.
@@ -76,6 +81,7 @@
   bool is_inherited_fenced = false;
   instant latest;
   instant latest_in_time;
+  instant latest_of_begun;
   std::map<std::int64_t, open_grant> open;  // In the order of sending.
   std::int64_t next_number = 1;
   std::int64_t late = 0;
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -194,6 +194,9 @@
   static bool lists(const poll_report& report, const run_key& run);
   // `fences`: the report refuses all starts that were sent before it.
   void close_missing(const poll_report& report, instant sent, bool fences);
+  // For how long after the last sign of life of the runner a run there may still last, if commands
+  // of this leader come late.
+  millis late_lease_span() const;
   void log_closed(const run_key& run, const tracked_run& tracked, std::string_view why);
   // True if the incarnation that answered last ran a moment ago, so that a lease that is
   // reckoned by its clock cannot reach another one.
--- a/src/cell/runner_session_reports.cc
+++ b/src/cell/runner_session_reports.cc
@@ -211,6 +211,10 @@
          (differs(this->incarnation) || (this->listed && differs(this->entry.incarnation)));
 }
 
+millis runner_session::late_lease_span() const {
+  return this->leases.end_of_begun() - this->runner_time.alive_at();
+}
+
 // What the conclusion that a run is over without a listed end was based on.
 void runner_session::log_closed(const run_key& run, const tracked_run& tracked,
                                 std::string_view why) {
@@ -228,6 +232,9 @@
                                     {"unanswered_starts", tracked.unanswered_starts},
                                     {"proof_ms", this->proof_age(now).value},
                                     {"lease_over_ms", (now - this->leases.end()).value},
+                                    {"lasts", tracked.lasts},
+                                    {"late_leases", this->leases.late_grants()},
+                                    {"late_ms", this->late_lease_span().value},
                                     {"acknowledged", this->acknowledged_up_to}});
 }
 
