Leases of a runner session in a file of their own

Cause: runner_session.cc had 412 lines, and what it grants, counts and gives up stood between polls and ticks. Change: moved to runner_session_leases.cc as it was; no logic is changed.

--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <vector>
 
-#include "cell/clock_drift.h"
-
 namespace monsoonmux::cell {
 namespace {
 
@@ -12,9 +10,6 @@
 constexpr millis renew_after{1'500};
 // A poll that does not wait renews the lease unless that was done within this time.
 constexpr millis renew_early{500};
-// No lease lasts longer than this after the last time at which the runner is known to have run:
-// starts alone must not keep the leases of a runner alive that answers nothing.
-constexpr millis lease_after_proof{8'300};
 // A runner that has not answered for so long since the takeover counts as out of contact.
 constexpr millis first_contact_time{500};
 
@@ -82,59 +77,6 @@
   tracked.placed_on = placed_on;
 }
 
-std::optional<millis> runner_session::next_lease(instant now) const {
-  if (this->awaits_lapse) {
-    return std::nullopt;
-  }
-  const instant last_proof = std::max(this->runner_time.alive_at(), this->busy_since);
-  const instant latest =
-      std::min(this->leader.leases_until(this->id), last_proof + lease_after_proof);
-  const millis lease = std::min(this->options.max_lease, shortest_runner_time(latest - now));
-  return lease > millis{0} ? std::optional(lease) : std::nullopt;
-}
-
-std::int64_t runner_session::end_of_lease(millis lease, instant now) const {
-  return this->runner_time.at_least(now) + lease.value;
-}
-
-// A command without an answer may be executed seconds later, when the leases that it extends
-// should be over. Once the runner has executed one with a later token, it refuses that.
-void runner_session::settle_grant(std::int64_t grant, command_status status) {
-  if (grant == no_grant) {
-    return;
-  }
-  if (status != command_status::unknown) {
-    this->leases.answered(grant);
-    return;
-  }
-  this->leases.unanswered(grant);
-  this->tokens.raise();
-  this->events.write(
-      "lease_may_come_late",
-      {{"runner", this->id}, {"leases_ms", (this->leases.end() - this->time.now()).value}});
-}
-
-void runner_session::note_fence() {
-  if (this->leases.has_late_grants()) {
-    // Its call may have come just before this.
-    this->note_granted(this->reported_clock_ms + this->options.max_lease.value);
-  }
-  if (this->leases.awaits_fence()) {
-    this->leases.fenced(this->time.now());
-  }
-}
-
-void runner_session::note_granted(std::int64_t lease_until_ms) {
-  this->granted_until_ms = std::max(this->granted_until_ms, lease_until_ms);
-}
-
-std::optional<millis> runner_session::lapse_margin() const {
-  if (this->granted_until_ms == 0 || this->leases.has_late_grants()) {
-    return std::nullopt;
-  }
-  return millis{this->reported_clock_ms - this->granted_until_ms};
-}
-
 bool runner_session::out_of_contact() const {
   if (this->runs.empty()) {
     return false;
@@ -358,55 +300,4 @@
   }
 }
 
-bool runner_session::may_expire() const {
-  return this->failed_polls > 0 || !this->reachable() || !this->admitted;
-}
-
-instant runner_session::runs_given_up_at() const {
-  return !this->runs.empty() && this->may_expire() ? this->lease_end() : never;
-}
-
-instant runner_session::lease_end() const {
-  const bool any_lasts = std::any_of(this->runs.begin(), this->runs.end(),
-                                     [](const auto& entry) { return entry.second.lasts; });
-  return any_lasts ? this->leases.end_if_in_time() : this->leases.end();
-}
-
-bool runner_session::has_expired(const tracked_run& tracked, instant now) const {
-  return now >= (tracked.lasts ? this->leases.end_if_in_time() : this->leases.end());
-}
-
-void runner_session::close_expired() {
-  const instant now = this->time.now();
-  std::vector<std::pair<run_key, std::string_view>> expired;
-  // What was never sent cannot have crashed the runner.
-  const auto may_have_begun = [](const tracked_run& tracked) {
-    return tracked.recovered || tracked.command.lease_until_ms != 0 ||
-           tracked.answered_at != instant{0};
-  };
-  for (const auto& [run, tracked] : this->runs) {
-    if (!this->has_expired(tracked, now)) {
-      continue;
-    }
-    const std::string_view lapsed =
-        this->crashed_under(tracked) ? "runner_crashed" : "lease_lapsed";
-    const std::string_view why = may_have_begun(tracked) ? lapsed : "not_sent";
-    this->log_closed(run, tracked, why);
-    expired.emplace_back(run, why);
-  }
-  if (expired.empty()) {
-    return;
-  }
-  this->admitted = false;
-  for (const auto& [run, why] : expired) {
-    if (!this->runs.at(run).lasts) {
-      this->lapsed_runs.insert(run);
-    }
-    this->runs.erase(run);
-  }
-  for (const auto& [run, why] : expired) {
-    this->leader.run_lost(this->id, run, why);
-  }
-}
-
 }  // namespace monsoonmux::cell
--- a/src/cell/runner_session_reports.cc
+++ b/src/cell/runner_session_reports.cc
@@ -211,10 +211,6 @@
          (differs(this->incarnation) || (this->listed && differs(this->entry.incarnation)));
 }
 
-millis runner_session::late_lease_span() const {
-  return this->leases.end_of_begun() - this->runner_time.alive_at();
-}
-
 // What the conclusion that a run is over without a listed end was based on.
 void runner_session::log_closed(const run_key& run, const tracked_run& tracked,
                                 std::string_view why) {
