A run that lasts is not given up while a late command may extend its lease

Cause: a run that lasts was given up when a lease in time would have ended (end_if_in_time), although a command with a lease had no answer and the runner executed it behind the cut. That was chosen since waiting for it could take a lease more, 13 s after the runner's last answer, and such a task has to run again 9 s after its last run (LOST).

Change: both. The run counts as over when no command of this leader can extend its lease any more; each adds one lease at most, as it is void once the lease has ended. And a session with such a run grants so little that all its commands, each as late as can be, end 8.3 s after the runner's last sign of life: renewals of about 4.7 s for 6, starts of 1.5 s that wait for the answers of others where these take up all. A command in doubt no longer counts twice, in time and late.

To fence sooner: a cut within the round trips of the second command breaks the rule as before.

--- a/src/cell/lease_expiry.cc
+++ b/src/cell/lease_expiry.cc
@@ -41,6 +41,7 @@
   const lease_grant grant = it->second.grant;
   this->late -= it->second.late ? 1 : 0;
   this->open.erase(it);
+  this->granted = std::max(this->granted, grant.sent + expiry_time(grant.lease));
   this->extend(grant.lease, grant.sent);
 }
 
@@ -63,7 +64,9 @@
       ++it;
       continue;
     }
-    this->settled = std::max(this->settled, now + expiry_time(it->second.grant.lease_if_late));
+    const lease_grant& grant = it->second.grant;
+    this->settled = std::max(this->settled, now + expiry_time(grant.lease_if_late));
+    this->granted = std::max(this->granted, now + expiry_time(grant.lease));
     it = this->open.erase(it);
   }
   this->late = 0;
@@ -83,6 +86,14 @@
   return this->extended_by(std::move(grants), std::max(this->settled, this->inherited_if_late));
 }
 
+instant lease_expiry::end_of_begun_from(instant others) const {
+  std::vector<lease_grant> grants;
+  for (const auto& [number, each] : this->open) {
+    grants.push_back(for_begun_run(each.grant));
+  }
+  return this->extended_by(std::move(grants), others);
+}
+
 // Each late command may be executed just before the leases end that the others gave. The one that
 // may be executed last extends them furthest, so it counts last.
 instant lease_expiry::extended_by(std::vector<lease_grant> late_grants, instant others) {
@@ -99,8 +110,8 @@
 }
 
 void lease_expiry::reckon() {
-  instant others = std::max(this->settled, this->inherited_if_late);
   this->latest_in_time = this->settled;
+  instant answerable = this->settled;  // By the commands that are not late, in time.
   std::vector<lease_grant> late_grants;
   std::vector<lease_grant> late_extensions;
   for (const auto& [number, each] : this->open) {
@@ -110,11 +121,13 @@
       late_grants.push_back(each.grant);
       late_extensions.push_back(for_begun_run(each.grant));
     } else {
-      others = std::max(others, in_time);
+      answerable = std::max(answerable, in_time);
     }
   }
-  this->latest = this->extended_by(std::move(late_grants), others);
-  this->latest_of_begun = this->extended_by(std::move(late_extensions), this->latest_in_time);
+  this->latest_of_begun = this->extended_by(std::move(late_extensions), answerable);
+  this->latest_of_unbegun = this->extended_by(late_grants, answerable);
+  this->latest =
+      this->extended_by(std::move(late_grants), std::max(answerable, this->inherited_if_late));
 }
 
 }  // namespace monsoonmux::cell
--- a/src/cell/lease_expiry.h
+++ b/src/cell/lease_expiry.h
@@ -49,6 +49,14 @@
   // leader that may be executed late and by those of previous leaders in time. A late command
   // extends the lease of a run only as long as that has not ended.
   instant end_of_begun() const { return this->latest_of_begun; }
+  // The same if the commands that may still be answered are executed late too.
+  instant end_of_begun_if_unanswered() const { return this->end_of_begun_from(this->settled); }
+  // The same for a run that a late command may begin.
+  instant end_of_unbegun() const { return this->latest_of_unbegun; }
+  // Until when this leader's own commands that are not open any more extended leases.
+  instant granted_until() const { return this->granted; }
+  // The same by all its commands, each of which may be executed late.
+  instant reach() const { return this->end_of_begun_from(this->granted); }
   // Returns the number of the grant.
   std::int64_t sent(const lease_grant& grant);
   // The command was executed in time, or refused.
@@ -59,6 +67,7 @@
   void fenced(instant now);
   // True if a command without an answer may still be executed. No further lease should be granted.
   bool has_late_grants() const { return this->late > 0; }
+  bool has_open_grants() const { return !this->open.empty(); }
   std::int64_t late_grants() const { return this->late; }
   // True if fenced() has something to settle.
   bool awaits_fence() const { return this->has_late_grants() || !this->is_inherited_fenced; }
@@ -72,6 +81,7 @@
   };
   // The end where each late grant of these may be executed just before the other leases end.
   static instant extended_by(std::vector<lease_grant> late_grants, instant others);
+  instant end_of_begun_from(instant others) const;
   void reckon();
 
   const millis longest_lease;
@@ -82,6 +92,8 @@
   instant latest;
   instant latest_in_time;
   instant latest_of_begun;
+  instant latest_of_unbegun;
+  instant granted{0};
   std::map<std::int64_t, open_grant> open;  // In the order of sending.
   std::int64_t next_number = 1;
   std::int64_t late = 0;
--- a/src/cell/runner_session.cc
+++ b/src/cell/runner_session.cc
@@ -202,6 +202,9 @@
       this->settle_acknowledgement(request, answer.status);
       this->poll_answered(answer, request, now);
     }
+    if (*a) {
+      this->send_after_answers();
+    }
   });
 }
 
@@ -269,7 +272,7 @@
   if (this->next_command <= now || (this->may_poll() && this->poll_due(now, false))) {
     return true;
   }
-  return !this->runs.empty() && this->lease_end() <= now && this->may_expire();
+  return !this->runs.empty() && this->may_expire() && this->lease_end() <= now;
 }
 
 void runner_session::tick() {
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -115,9 +115,7 @@
   // none, or one of which the call may have come late.
   std::optional<millis> lapse_margin() const;
   // Until when the leases of the runs on the runner count, if none is granted from now on.
-  lease_limits lease_limit() const {
-    return {this->leases.end_if_in_time(), this->leases.end_if_unanswered()};
-  }
+  lease_limits lease_limit() const;
   // When the runs on the runner are given up if it stays out of contact; `never` if it is in
   // contact or there are none.
   instant runs_given_up_at() const;
@@ -133,6 +131,9 @@
     std::int32_t attempts = 0;
     std::int64_t placed_on = 0;  // The incarnation that the start is meant for.
     bool awaits_proof = false;   // The start is sent once `placed_on` is proven to run.
+    // The start is sent once others are answered, so that its lease may be long enough.
+    bool awaits_answers = false;
+    bool renews = false;  // The lease of the start is as long as that of a renewal.
     // The incarnation that answered last is known to have executed the start, so no later one has
     // but for a copy that came late.
     bool confirmed = false;
@@ -220,14 +221,24 @@
   bool may_expire() const;
   // When the first runs are over unless the runner answers before.
   instant lease_end() const;
-  // True if the run is over unless the runner has answered before. Of one that lasts that is said
-  // although a lease may come late, since its task must not be without a run for so long.
-  bool has_expired(const tracked_run& tracked, instant now) const;
+  // When the run is over unless the runner answers before. One that lasts counts by the commands of
+  // this leader; those of previous leaders count as if none came late, since its task must not be
+  // without a run for so long.
+  instant end_of(const tracked_run& tracked) const;
   void close_expired();
   // Returns true if the answer is known to be of the incarnation that answered last.
   bool update_clock(const command_answer& answer, fencing_token token, instant sent);
-  // The longest lease, on the runner's clock, that may be granted now; empty if none may.
+  bool has_lasting_runs() const;
+  // The longest lease, on the runner's clock, that may be granted now; empty if none may. Beside a
+  // run that lasts it is so short that this run ends in time though each command come late.
   std::optional<millis> next_lease(instant now) const;
+  // The same for a start; empty also if others have to be answered before. Beside a run that lasts
+  // it is short while the runner's lease goes on, as a start in doubt might extend that.
+  std::optional<millis> next_start_lease(instant now) const;
+  // True if a command with this lease makes the next renewal wait.
+  bool is_renewal(millis lease) const;
+  // Sends the starts that wait for the answers of others.
+  void send_after_answers();
   // The end of the lease on the runner's clock, from `now` on, for which it was reckoned. The
   // process may have been frozen in between.
   std::int64_t end_of_lease(millis lease, instant now) const;
--- a/src/cell/runner_session_commands.cc
+++ b/src/cell/runner_session_commands.cc
@@ -1,6 +1,7 @@
 // The start and stop commands of a session, their answers and repeats.
 
 #include <algorithm>
+#include <vector>
 
 #include "cell/runner_session.h"
 
@@ -36,18 +37,23 @@
   }
   tracked.next_try = never;
   const instant now = this->time.now();
-  const std::optional<millis> lease = this->next_lease(now);
+  const std::optional<millis> lease = this->next_start_lease(now);
   tracked.awaits_proof = lease && !this->is_proven(now);
   if (tracked.awaits_proof) {
     this->prove();
     return;
   }
+  tracked.awaits_answers = !lease && this->has_lasting_runs() && this->leases.has_open_grants();
+  if (tracked.awaits_answers) {
+    return;
+  }
   ++tracked.attempts;
   if (!lease) {
     this->retry_start(run, tracked, "no_lease");
     return;
   }
   this->supersede_acknowledgement();
+  tracked.renews = this->is_renewal(*lease);
   tracked.command.target = this->target();
   tracked.command.lease_until_ms = this->end_of_lease(*lease, now);
   this->note_granted(tracked.command.lease_until_ms);
@@ -67,9 +73,28 @@
       }
       this->start_answered(run, answer, token, now);
     }
+    if (*a) {
+      this->send_after_answers();
+    }
   });
 }
 
+void runner_session::send_after_answers() {
+  std::vector<run_key> waiting;
+  for (const auto& [run, tracked] : this->runs) {
+    if (tracked.awaits_answers && !tracked.stopping) {
+      waiting.push_back(run);
+    }
+  }
+  for (const run_key& run : waiting) {
+    const auto it = this->runs.find(run);
+    if (it != this->runs.end() && !it->second.stopping) {
+      it->second.awaits_answers = false;
+      this->send_start(run);
+    }
+  }
+}
+
 void runner_session::start_answered(const run_key& run, const command_answer& answer,
                                     fencing_token token, instant sent) {
   const bool same_incarnation = this->update_clock(answer, token, sent);
@@ -85,7 +110,9 @@
     case command_status::stale_run:
       tracked.answered_at = this->time.now();
       tracked.confirmed = tracked.confirmed || same_incarnation;
-      this->last_renewal = std::max(this->last_renewal, sent);
+      if (tracked.renews) {
+        this->last_renewal = std::max(this->last_renewal, sent);
+      }
       if (this->acknowledgement_due() && this->may_acknowledge(this->time.now())) {
         this->next_poll = this->time.now();
       }
--- a/src/cell/runner_session_leases.cc
+++ b/src/cell/runner_session_leases.cc
@@ -14,6 +14,10 @@
 // starts alone must not keep the leases of a runner alive that answers nothing.
 constexpr millis lease_after_proof{8'300};
 
+// Of a start beside a run that lasts. Longer than a start may be under way, and so short that
+// several in doubt extend the lease by little.
+constexpr millis start_lease{1'500};
+
 }  // namespace
 
 std::optional<millis> runner_session::next_lease(instant now) const {
@@ -23,10 +27,37 @@
   const instant last_proof = std::max(this->runner_time.alive_at(), this->busy_since);
   const instant latest =
       std::min(this->leader.leases_until(this->id), last_proof + lease_after_proof);
-  const millis lease = std::min(this->options.max_lease, shortest_runner_time(latest - now));
+  millis lease = std::min(this->options.max_lease, shortest_runner_time(latest - now));
+  if (this->has_lasting_runs()) {
+    const instant extends_from = std::max(now, this->leases.reach());
+    const millis left = last_proof + lease_after_proof - extends_from;
+    lease = std::min(lease, shortest_runner_time(left));
+  }
   return lease > millis{0} ? std::optional(lease) : std::nullopt;
 }
 
+std::optional<millis> runner_session::next_start_lease(instant now) const {
+  const std::optional<millis> longest = this->next_lease(now);
+  if (!this->has_lasting_runs()) {
+    return longest;
+  }
+  const millis least = std::min(start_lease, this->options.max_lease);
+  if (this->leases.has_open_grants() && longest.value_or(millis{0}) < least) {
+    return std::nullopt;
+  }
+  const bool goes_on = this->leases.granted_until() >= now + least;
+  return longest && goes_on ? std::min(*longest, least) : longest;
+}
+
+bool runner_session::is_renewal(millis lease) const {
+  return !this->has_lasting_runs() || lease > start_lease;
+}
+
+bool runner_session::has_lasting_runs() const {
+  return std::any_of(this->runs.begin(), this->runs.end(),
+                     [](const auto& entry) { return entry.second.lasts; });
+}
+
 std::int64_t runner_session::end_of_lease(millis lease, instant now) const {
   return this->runner_time.at_least(now) + lease.value;
 }
@@ -78,13 +109,25 @@
 }
 
 instant runner_session::lease_end() const {
-  const bool any_lasts = std::any_of(this->runs.begin(), this->runs.end(),
-                                     [](const auto& entry) { return entry.second.lasts; });
-  return any_lasts ? this->leases.end_if_in_time() : this->leases.end();
+  instant out = never;
+  for (const auto& [run, tracked] : this->runs) {
+    out = std::min(out, this->end_of(tracked));
+  }
+  return out;
+}
+
+instant runner_session::end_of(const tracked_run& tracked) const {
+  if (!tracked.lasts) {
+    return this->leases.end();
+  }
+  const bool has_begun = tracked.recovered || tracked.answered_at != instant{0};
+  return has_begun ? this->leases.end_of_begun() : this->leases.end_of_unbegun();
 }
 
-bool runner_session::has_expired(const tracked_run& tracked, instant now) const {
-  return now >= (tracked.lasts ? this->leases.end_if_in_time() : this->leases.end());
+lease_limits runner_session::lease_limit() const {
+  const instant in_time = this->has_lasting_runs() ? this->leases.end_of_begun_if_unanswered()
+                                                   : this->leases.end_if_in_time();
+  return {in_time, this->leases.end_if_unanswered()};
 }
 
 void runner_session::close_expired() {
@@ -96,7 +139,7 @@
            tracked.answered_at != instant{0};
   };
   for (const auto& [run, tracked] : this->runs) {
-    if (!this->has_expired(tracked, now)) {
+    if (now < this->end_of(tracked)) {
       continue;
     }
     const std::string_view lapsed =
--- a/src/cell/testing/lease_expiry_test.cc
+++ b/src/cell/testing/lease_expiry_test.cc
@@ -117,14 +117,56 @@
   CHECK(leases.end() == std::max(in_time, end_from(start)));
 }
 
+TEST_CASE("A late command extends the lease of a begun run only while that has not ended") {
+  lease_expiry leases = without_inherited(instant{0});
+  leases.answered(leases.sent(poll_at(start)));
+  CHECK(leases.end_of_begun() == end_from(start));
+  const instant sent = start + millis{2'000};
+  leases.unanswered(leases.sent(start_at(sent, sent + lease_expiry::longest_way)));
+  CHECK(leases.end_of_begun() == end_from(end_from(start)));
+  CHECK(leases.end_of_unbegun() == end_from(sent + lease_expiry::longest_way));
+  leases.fenced(sent);
+  CHECK(leases.end_of_begun() == end_from(sent));
+}
+
+TEST_CASE(
+    "A late start counts for a begun run with its own lease, not with the next incarnation's") {
+  lease_expiry leases = without_inherited(instant{0});
+  leases.answered(leases.sent(poll_at(start)));
+  leases.unanswered(
+      leases.sent({start, lease, lease * 2, start + lease_expiry::longest_way, true}));
+  CHECK(leases.end_of_begun() == end_from(end_from(start)));
+}
+
+TEST_CASE("Late commands of previous leaders do not extend the lease of a begun run") {
+  const instant in_time = start + millis{8'000};
+  lease_expiry leases({in_time, in_time + lease_expiry::longest_way}, lease);
+  CHECK(leases.end_of_begun() == in_time);
+}
+
+TEST_CASE("The reach of a leader's own commands counts each of them as late") {
+  lease_expiry leases({start + millis{60'000}, start + millis{60'000}}, lease);
+  CHECK(leases.reach() == leases.granted_until());
+  leases.answered(leases.sent(poll_at(start)));
+  CHECK(leases.granted_until() == end_from(start));
+  CHECK(leases.reach() == end_from(start));
+  const std::int64_t open = leases.sent(poll_at(start + millis{1'000}));
+  CHECK(leases.has_open_grants());
+  CHECK(leases.reach() == end_from(end_from(start)));
+  leases.answered(open);
+  CHECK(leases.reach() == end_from(start + millis{1'000}));
+}
+
 TEST_CASE("A successor is told of the commands that may still be answered as if they came late") {
   lease_expiry leases = without_inherited(instant{0});
   leases.answered(leases.sent(poll_at(start)));
   const std::int64_t open = leases.sent(poll_at(start + millis{1'000}));
   CHECK(leases.end() == end_from(start + millis{1'000}));
   CHECK(leases.end_if_unanswered() == end_from(end_from(start)));
+  CHECK(leases.end_of_begun_if_unanswered() == end_from(end_from(start)));
   leases.answered(open);
   CHECK(leases.end_if_unanswered() == leases.end());
+  CHECK(leases.end_of_begun_if_unanswered() == leases.end());
 }
 
 }  // namespace
