Log and measure quarantines, refusing runners and the waits of interrupted lasting tasks

Now: runner_quarantined, runner_quarantine_ended (counters by reason), runners_refusing_work in cell_load, lasting_tasks_wait each second, lasting_task_placed_again (histogram lasting_task_wait), interrupted_ms in step_waits, which also explains the first four steps with interrupted lasting tasks. The wait reports moved to a file of their own. No decision changes.

Tests: "The begin and the end of a quarantine are told once, with its reason", "The log tells for how long each lasting task was without a run".

--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -279,6 +279,7 @@
   this->note_lasted_runs();
   this->judge_suspects();
   this->state.runners.check_stalled(this->services.time.now());
+  this->report_quarantines();
   this->tick_time += this->services.time.now() - begin;
   this->report_load();
   this->save_run_times();
@@ -338,6 +339,7 @@
   std::map<job_id, std::vector<placement>> by_job;
   for (const placement& p : decided.placements) {
     by_job[p.task.in.job].push_back(p);
+    this->report_placed_again(p);
   }
   for (auto& [job, starts] : by_job) {
     this->services.events.write("placed", {{"job", job.text},
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -163,6 +163,11 @@
                       const std::map<std::string, std::int64_t>& without_daemon);
   void report_queries(const plan& decided,
                       const std::map<std::string, std::int64_t>& without_daemon);
+  // How many lasting tasks wait that have had a run, and which of them for longest.
+  void report_interrupted();
+  // For how long the task was without a run, if it lasts and has had one.
+  void report_placed_again(const placement& start);
+  void report_quarantines();
   void request_plan();
   void open_due(instant now, std::int64_t wall_ms);
   void make_plan();
--- a/src/cell/leader_reports.cc
+++ b/src/cell/leader_reports.cc
@@ -1,6 +1,6 @@
-// The load reports of a leader, one a second: the use of the cell's capacity, and why the
-// most urgent steps are waiting. Also what its runners report that should not be: two runs of a
-// task, and more tasks of a step than its AntiAffinity allows.
+// The load reports of a leader, one a second: the use of the cell's capacity. Also what its runners
+// report that should not be: two runs of a task, and more tasks of a step than its AntiAffinity
+// allows.
 
 #include <algorithm>
 #include <set>
@@ -101,12 +101,16 @@
   this->load_reported = now;
   std::map<std::string, std::pair<resources, resources>> by_service;
   std::int64_t available = 0;
+  std::map<std::string, std::int64_t> refusing;
   for (const auto& [id, runner] : this->state.runners.all()) {
     auto& [used, capacity] = by_service[runner.entry.pool.text];
     used += runner.used;
-    if (runner.takes_work(now)) {
+    const work_refusal why = runner.refusal(now);
+    if (why == work_refusal::none) {
       capacity += runner.entry.capacity;
       ++available;
+    } else {
+      ++refusing[std::string(to_string(why))];
     }
   }
   nlohmann::ordered_json services_load;
@@ -126,6 +130,7 @@
                                {"open_jobs", this->state.jobs.size()},
                                {"waiting_tasks", this->waiting_tasks},
                                {"runners_taking_work", available},
+                               {"runners_refusing_work", refusing},
                                {"wishes_without_daemon", this->undispatched_queries},
                                {"wishes_put_off", this->deferred_queries},
                                {"advising_daemons", this->state.advising_daemons},
@@ -148,42 +153,4 @@
   this->tick_time = millis{0};
 }
 
-void leader::report_waiting(const plan& decided,
-                            const std::map<std::string, std::int64_t>& without_daemon) {
-  const instant now = this->services.time.now();
-  if (now - this->waiting_reported < this->options.load_report_interval) {
-    return;
-  }
-  this->waiting_reported = now;
-  this->report_queries(decided, without_daemon);
-  for (const waiting_reason& why : decided.reasons) {
-    this->services.events.write("step_waits", {{"step", why.step.text()},
-                                               {"tasks", why.tasks},
-                                               {"given_up", why.given_up},
-                                               {"takes_no_work", why.takes_no_work},
-                                               {"claimed", why.claimed},
-                                               {"no_room", why.no_room},
-                                               {"not_permitted", why.not_permitted},
-                                               {"not_asked", why.not_asked},
-                                               {"not_good", why.not_good},
-                                               {"no_ticket", why.no_ticket},
-                                               {"queries", why.queries},
-                                               {"query_wait_ms", why.query_wait.value},
-                                               {"query", to_string(why.query)}});
-  }
-}
-
-void leader::report_queries(const plan& decided,
-                            const std::map<std::string, std::int64_t>& without_daemon) {
-  for (const auto& [pool, tally] : decided.queries_by_pool) {
-    nlohmann::ordered_json fields{{"service", pool}};
-    for (std::size_t i = 0; i < tally.size(); ++i) {
-      fields[std::string(to_string(static_cast<query_state>(i)))] = tally[i];
-    }
-    const auto none = without_daemon.find(pool);
-    fields["no_daemon"] = none == without_daemon.end() ? 0 : none->second;
-    this->services.events.write("advice_waits", fields);
-  }
-}
-
 }  // namespace monsoonmux::cell
--- a/src/cell/leader_run_ends.cc
+++ b/src/cell/leader_run_ends.cc
@@ -88,6 +88,9 @@
   const bool current = task != nullptr && task->phase == task_phase::placed && task->run == run.run;
   const bool fully_observed = current && !task->inherited && !task->resumed;
   const instant placed_at = task != nullptr ? task->placed_at : instant{0};
+  if (current) {
+    task->waits_since = this->services.time.now();
+  }
   const end_effect effect = job.finish(run.task, run.run, how, checkpoint);
   if (!effect.counted) {
     this->forget_if_final(run.task.in.job);
--- a/src/cell/testing/lost_runner_test.cc
+++ b/src/cell/testing/lost_runner_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <map>
 
+#include "cell/testing/captured_events.h"
 #include "cell/testing/cell_checks.h"
 
 namespace monsoonmux::cell {
@@ -102,6 +103,22 @@
   });
 }
 
+TEST_CASE("The log tells for how long each lasting task was without a run") {
+  constexpr millis observation{100};  // Until the leader knows that the run is over.
+  const captured_events log;
+  lost_runner_fixture f(1, fake_cell::short_leases());
+  CHECK(log.named("lasting_task_placed_again").empty());
+  f.lose_runner(true);
+  const int lost = lost_runner_fixture::tasks - f.running();
+  const millis gap = f.gap();
+  const std::vector<nlohmann::json> placed = log.named("lasting_task_placed_again");
+  CHECK(static_cast<int>(placed.size()) == lost);
+  for (const nlohmann::json& event : placed) {
+    CHECK(event.at("run") == 2);
+    CHECK(event.at("waited_ms") <= (gap + observation).value);
+  }
+}
+
 TEST_CASE("Lasting tasks of a runner lost together with its leader start again in time") {
   for_all_seeds([](lost_runner_fixture& f, bool silent) {
     f.lose_runner(silent);
--- a/src/decide/live_job.cc
+++ b/src/decide/live_job.cc
@@ -90,6 +90,7 @@
       task.placed_at = now;
       task.inherited = t.phase == task_phase::placed;
       task.suspected = t.phase == task_phase::waiting && !t.runner.empty();
+      task.waits_since = t.phase == task_phase::waiting && t.run > 0 ? now : never;
       if (t.phase == task_phase::done) {
         ++occurrence.steps[step].done;
       }
@@ -149,6 +150,25 @@
   return index < tasks.size() ? &tasks[index] : nullptr;
 }
 
+std::vector<task_ref> live_job::interrupted_tasks() const {
+  std::vector<task_ref> out;
+  if (is_final(this->state)) {
+    return out;
+  }
+  for (const auto& [number, occurrence] : this->open_occurrences) {
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      const auto& tasks = occurrence.steps[s].tasks;
+      for (std::size_t t = 0; t < tasks.size() && this->spec().steps[s].long_running; ++t) {
+        if (tasks[t].phase == task_phase::waiting && tasks[t].waits_since != never) {
+          out.push_back({{this->submission().job, number, static_cast<std::int32_t>(s)},
+                         static_cast<std::int32_t>(t)});
+        }
+      }
+    }
+  }
+  return out;
+}
+
 void live_job::place(const task_ref& task, std::int32_t run, const std::string& runner,
                      std::int64_t runner_incarnation, instant now) {
   live_task& t = *this->find(task);
--- a/src/decide/live_job.h
+++ b/src/decide/live_job.h
@@ -56,6 +56,9 @@
   // runner crashes, by what this leader or an earlier one has seen.
   bool lasted = false;
   bool resumed = false;  // The run began from a checkpoint of an earlier one.
+  // When its latest run ended, or the current leader took over if that was before; `never`: it has
+  // had no run.
+  instant waits_since = never;
 };
 
 // How far the task's present or next run is kept from others.
@@ -136,6 +139,8 @@
   // Marks a waiting task as placed, under the given run number.
   void place(const task_ref& task, std::int32_t run, const std::string& runner,
              std::int64_t runner_incarnation, instant now);
+  // The lasting tasks that wait and have had a run; none if the job is final.
+  std::vector<task_ref> interrupted_tasks() const;
   // The run number for the next start of the task. All members of a gang share it.
   std::int32_t next_run(const task_ref& task);
   // True if the job would be failed if this run ended as failed.
--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -83,6 +83,7 @@
   this->steps.clear();
   this->special.clear();
   this->work = {};
+  this->explained_interrupted = 0;
   this->by_number.assign(this->state.runner_names->size(), {});
   for (auto& [id, runner] : this->state.runners.all()) {
     if (!runner.listed && runner.allocations.empty()) {
@@ -128,6 +129,18 @@
   return out;
 }
 
+instant placer::interrupted_since(const step_spec& shape, const live_step& step,
+                                  const std::vector<std::int32_t>& tasks) {
+  instant first = never;
+  if (!shape.long_running) {
+    return first;
+  }
+  for (const std::int32_t index : tasks) {
+    first = std::min(first, step.tasks[static_cast<std::size_t>(index)].waits_since);
+  }
+  return first;
+}
+
 bool placer::add_ending_tasks(waiting_step& waiting, const live_step& step, bool is_gang) const {
   const auto ending = this->ending_runs.find(waiting.ref);
   waiting.soon_waiting = ending != this->ending_runs.end() ? ending->second : 0;
@@ -170,6 +183,7 @@
     step.soon_waiting = 0;  // Counts once.
     part.kept = kept;
     part.tasks = std::move(indices);
+    part.interrupted_since = interrupted_since(*part.shape, tasks, part.tasks);
     out.push_back(std::move(part));
   }
 }
@@ -210,7 +224,7 @@
     ++round.learning_steps;
     step.lacks_runners_to_reserve = true;
   }
-  const bool explained = round.blocked < this->options.max_explained_steps;
+  const bool explained = this->is_to_explain(step);
   if (explained) {
     out.reasons.push_back(this->explain(step, now));
   }
@@ -304,11 +318,21 @@
   return false;
 }
 
+bool placer::is_to_explain(const waiting_step& step) {
+  if (step.interrupted_since != never &&
+      this->explained_interrupted < this->options.max_explained_interrupted_steps) {
+    ++this->explained_interrupted;
+    return true;
+  }
+  return step.round->blocked < this->options.max_explained_steps;
+}
+
 waiting_reason placer::explain(const waiting_step& step, instant now) {
   waiting_reason out;
   out.step = step.ref;
   out.tasks = step.tasks.size();
   out.given_up = step.order.given_up;
+  out.interrupted_since = step.interrupted_since;
   if (step.advice != nullptr) {
     out.queries = step.advice->queries;
     out.query_wait = step.advice->waited(now);
--- a/src/decide/placer.h
+++ b/src/decide/placer.h
@@ -85,6 +85,8 @@
   std::int64_t queries = 0;  // Advice queries of the step so far.
   millis query_wait{0};      // How long it has wanted one that was not sent.
   query_state query = query_state::not_needed;
+  // Of lasting tasks that have had a run: since when the first of them waits; else `never`.
+  instant interrupted_since = never;
 };
 
 // What a round costs: how many runners it has looked at, by what for.
@@ -107,7 +109,8 @@
   millis longest_query_wait{0};  // Of the steps that want a query now.
   std::int64_t waiting_tasks = 0;
   planning_work work;
-  std::vector<waiting_reason> reasons;  // Of the first blocked steps of each pool.
+  // Of the first blocked steps of each pool and the first with interrupted lasting tasks.
+  std::vector<waiting_reason> reasons;
   std::map<std::string, query_tally> queries_by_pool;
 };
 
@@ -143,6 +146,8 @@
   millis helpless_retry_delay{250};
   // Maximum number of blocked steps of one pool for which a round reports the reasons.
   std::size_t max_explained_steps = 2;
+  // The same for steps with interrupted lasting tasks, of all pools.
+  std::size_t max_explained_interrupted_steps = 4;
   // Maximum number of long and of short queries of one pool in one round for each advising daemon.
   // It is as many as the daemons can handle, since on a slow host the next round may come much
   // later.
@@ -211,6 +216,7 @@
     pool_round* round = nullptr;
     advice_cache::step_advice* advice = nullptr;  // Null: the queue needs no advice.
     std::vector<std::int32_t> tasks;              // Indices of the waiting tasks.
+    instant interrupted_since = never;            // See waiting_reason.
     // Number of other tasks that will wait soon; only advice queries take them into account.
     std::size_t soon_waiting = 0;
     isolation kept = isolation::none;  // Of these tasks.
@@ -302,6 +308,9 @@
   waiting_step* next_step();
   bool special_comes_before(const candidate_step& other) const;
   void handle_step(waiting_step& step, instant now, plan& out);
+  // See waiting_reason. `tasks`: indices of those that wait.
+  static instant interrupted_since(const step_spec& shape, const live_step& step,
+                                   const std::vector<std::int32_t>& tasks);
   // Returns the step's tasks that wait and may start.
   std::vector<std::int32_t> tasks_to_place(const step_ref& ref, const live_step& step) const;
   bool soon_ready(const live_job& job, const live_occurrence& occurrence, std::int32_t step,
@@ -464,6 +473,8 @@
   double starts_needed(const waiting_step& step) const;
   double starts_that_fit(const waiting_step& step, const runner_state& runner) const;
   waiting_reason explain(const waiting_step& step, instant now);
+  // True for the first blocked steps of a pool, and the first with interrupted lasting tasks.
+  bool is_to_explain(const waiting_step& step);
   bool permitted(const waiting_step& step, const runner_state& runner) const;
   // True if a task of the step can start on the runner, a candidate, now.
   bool may_take(const waiting_step& step, const runner_state& runner, instant now) const;
@@ -521,6 +532,7 @@
   // Since when lasting steps have found no runner, as of the last round.
   std::map<step_ref, instant> held_since;
   std::map<step_ref, instant> still_held;  // The same, of the current round.
+  std::size_t explained_interrupted = 0;   // Steps with interrupted lasting tasks, in this round.
 };
 
 }  // namespace monsoonmux::cell
--- a/src/decide/runner_table.cc
+++ b/src/decide/runner_table.cc
@@ -4,6 +4,42 @@
 
 namespace monsoonmux::cell {
 
+std::string_view to_string(work_refusal refusal) {
+  switch (refusal) {
+    case work_refusal::none:
+      return "none";
+    case work_refusal::not_listed:
+      return "not_listed";
+    case work_refusal::not_admitted:
+      return "not_admitted";
+    case work_refusal::draining:
+      return "draining";
+    case work_refusal::stalled:
+      return "stalled";
+    case work_refusal::failing:
+      return "failing";
+    case work_refusal::unknown_need:
+      return "unknown_need";
+  }
+  return "unknown";
+}
+
+work_refusal runner_state::refusal(instant now) const {
+  if (!this->listed) {
+    return work_refusal::not_listed;
+  }
+  if (!this->admitted) {
+    return work_refusal::not_admitted;
+  }
+  if (this->entry.draining) {
+    return work_refusal::draining;
+  }
+  if (this->quarantined_until > now) {
+    return this->quarantined_for;
+  }
+  return this->runs_of_unknown_need > 0 ? work_refusal::unknown_need : work_refusal::none;
+}
+
 bool runner_state::has_label(const std::string& label) const {
   return std::find(this->entry.labels.begin(), this->entry.labels.end(), label) !=
          this->entry.labels.end();
@@ -123,13 +159,35 @@
       ++(late ? overdue : others);
     }
     if (overdue >= this->options.overdue_runs && overdue >= others) {
-      runner.quarantined_until =
-          std::max(runner.quarantined_until, now + this->options.stalled_quarantine_time);
+      this->quarantine(runner, now, now + this->options.stalled_quarantine_time,
+                       {id, true, work_refusal::stalled, overdue, others, millis{0}});
     }
+    this->note_quarantine_end(id, runner, now);
   }
   return looked_at;
 }
 
+void runner_table::quarantine(runner_state& state, instant now, instant until,
+                              quarantine_change change) {
+  if (until > state.quarantined_until) {
+    state.quarantined_until = until;
+    state.quarantined_for = change.why;
+  }
+  if (state.quarantined_since == never) {
+    state.quarantined_since = now;
+    this->quarantine_changes.push_back(std::move(change));
+  }
+}
+
+void runner_table::note_quarantine_end(const std::string& id, runner_state& state, instant now) {
+  if (state.quarantined_since == never || state.quarantined_until > now) {
+    return;
+  }
+  const millis lasted = now - state.quarantined_since;
+  state.quarantined_since = never;
+  this->quarantine_changes.push_back({id, false, state.quarantined_for, 0, 0, lasted});
+}
+
 std::int64_t runner_table::check_stalled(instant now) {
   if (now - this->stalled_checked < this->options.stalled_check_interval) {
     return 0;
@@ -145,7 +203,8 @@
   }
   state->consecutive_failures = failed ? state->consecutive_failures + 1 : 0;
   if (state->consecutive_failures >= this->options.failures_to_quarantine) {
-    state->quarantined_until = now + this->options.quarantine_time;
+    this->quarantine(*state, now, now + this->options.quarantine_time,
+                     {id, true, work_refusal::failing, 0, 0, millis{0}});
     state->consecutive_failures = 0;
   }
 }
--- a/src/decide/runner_table.h
+++ b/src/decide/runner_table.h
@@ -3,7 +3,9 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -48,6 +50,29 @@
   auto operator<=>(const run_key&) const = default;
 };
 
+// Why a runner takes no new work; `none`: it takes some.
+enum class work_refusal : std::uint8_t {
+  none,
+  not_listed,
+  not_admitted,  // It has not answered under our fencing token, or is out of contact.
+  draining,
+  stalled,       // Quarantined: its runs have stalled.
+  failing,       // Quarantined: its last runs failed.
+  unknown_need,  // It has a run of an unknown job.
+};
+constexpr std::size_t work_refusals = 7;
+std::string_view to_string(work_refusal refusal);
+
+// The begin or the end of a runner's quarantine.
+struct quarantine_change {
+  std::string runner;
+  bool begins = false;
+  work_refusal why = work_refusal::none;
+  std::int32_t overdue = 0;  // Of its runs when it was found to be stalled.
+  std::int32_t others = 0;
+  millis lasted{0};  // 0 at its begin.
+};
+
 // The leader's record of one runner.
 struct runner_state {
   runner_entry entry;
@@ -68,14 +93,15 @@
   std::int32_t suspect_runs = 0;  // Those kept apart or alone.
   std::int32_t consecutive_failures = 0;
   instant quarantined_until{0};  // No new work is placed on it before this time.
+  work_refusal quarantined_for = work_refusal::failing;
+  instant quarantined_since = never;  // `never`: it was not, or the end was told.
   // When its runs are given up if it stays out of contact; `never` while it is in contact.
   instant runs_given_up_at = never;
 
   resources free_capacity() const { return this->entry.capacity - this->used; }
-  bool takes_work(instant now) const {
-    return this->listed && this->admitted && !this->entry.draining &&
-           this->quarantined_until <= now && this->runs_of_unknown_need == 0;
-  }
+  // The first reason that applies.
+  work_refusal refusal(instant now) const;
+  bool takes_work(instant now) const { return this->refusal(now) == work_refusal::none; }
   bool has_label(const std::string& label) const;
   // True if this incarnation was to leave, so that its absence or end is no crash.
   bool was_to_leave(std::int64_t incarnation) const {
@@ -141,10 +167,18 @@
   // Counts consecutive failed runs, to detect and quarantine a runner on which every run
   // fails.
   void record_run_outcome(const std::string& id, bool failed, instant now);
+  // Returns the quarantines that have begun or ended since the last call; an end is found by
+  // quarantine_stalled().
+  std::vector<quarantine_change> take_quarantine_changes() {
+    return std::exchange(this->quarantine_changes, {});
+  }
 
  private:
   // Returns the state of the runner, a new one if it has none.
   runner_state& state_of(const std::string& id);
+  // The change's `why` is the reason; unless the runner is in quarantine already it is noted.
+  void quarantine(runner_state& state, instant now, instant until, quarantine_change change);
+  void note_quarantine_end(const std::string& id, runner_state& state, instant now);
 
   const runner_table_options options;
   const std::shared_ptr<runner_numbers> numbers;
@@ -154,6 +188,7 @@
   std::unordered_map<std::string, runner_state> by_id;
   instant stalled_checked{0};                  // When check_stalled() last looked.
   std::map<task_ref, std::int32_t> untracked;  // Number of untracked runs, by task.
+  std::vector<quarantine_change> quarantine_changes;
 };
 
 }  // namespace monsoonmux::cell
--- a/src/decide/testing/runner_table_test.cc
+++ b/src/decide/testing/runner_table_test.cc
@@ -63,6 +63,34 @@
   CHECK(lasting.takes_work(now));
 }
 
+TEST_CASE("The begin and the end of a quarantine are told once, with its reason") {
+  runner_table table;
+  add_runner(table, "still");
+  add_runner(table, "fails");
+  for (std::int32_t i = 0; i < 2; ++i) {
+    table.add("still", run(i, now - millis{10'000}, millis{1'000}));
+  }
+  for (std::int32_t i = 0; i < runner_table_options{}.failures_to_quarantine; ++i) {
+    table.record_run_outcome("fails", true, now);
+  }
+  table.quarantine_stalled(now);
+  table.quarantine_stalled(now + millis{500});
+  const std::vector<quarantine_change> begun = table.take_quarantine_changes();
+  REQUIRE(begun.size() == 2);
+  CHECK(begun[0].why == work_refusal::failing);
+  CHECK(begun[1].why == work_refusal::stalled);
+  CHECK(begun[1].overdue == 2);
+  for (std::int32_t i = 0; i < 2; ++i) {
+    table.remove("still", {run(i, now, millis{0}).task, 1});
+  }
+  table.quarantine_stalled(now + millis{20'000});
+  const std::vector<quarantine_change> ended = table.take_quarantine_changes();
+  REQUIRE(ended.size() == 2);
+  CHECK_FALSE(ended[0].begins);
+  CHECK(ended[0].lasted == millis{20'000});
+  CHECK(table.take_quarantine_changes().empty());
+}
+
 constexpr millis tick{50};  // Of a leader.
 
 TEST_CASE("Looking for stalled runners does not walk all runs at each tick") {
