A runner whose overdue runs get on is not quarantined, but gets work after others

Cause: a runner counted as stalled if two of its runs, and no fewer than its others, took more than three times the learned time. That is a sign of a stalled runner only while the estimate is right; here it was wrong for a third of the work, which is most of what runs at any moment. Class: a conclusion about a machine from a forecast about work. Fix: the runner reports each run's progress. An overdue run counts only while that shows none (for 2 s and a quarter of the run's age); those that get on make the placer prefer other runners. Without any report of progress the rule is as before.

--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -134,6 +134,9 @@
   void run_lost(const std::string& runner, const run_key& run, std::string_view why) override;
   void checkpoint_reported(const std::string& runner, const run_key& run,
                            const std::string& checkpoint) override;
+  void progress_changed(const std::string& runner, const run_key& run, bool gets_on) override {
+    this->state.runners.note_progress(runner, run, gets_on);
+  }
   void ticket_refused(const std::string& runner, const run_key& run) override;
   void token_refused(const std::string& runner) override;
   instant leases_until(const std::string& runner) override;
--- a/src/cell/runner_session.h
+++ b/src/cell/runner_session.h
@@ -15,6 +15,7 @@
 #include "cell/runner_port.h"
 #include "cell/runner_tokens.h"
 #include "cell/timer.h"
+#include "decide/run_progress.h"
 #include "decide/runner_table.h"
 #include "model/runner_contact.h"
 
@@ -55,6 +56,8 @@
   virtual void run_lost(const std::string& runner, const run_key& run, std::string_view why) = 0;
   virtual void checkpoint_reported(const std::string& runner, const run_key& run,
                                    const std::string& checkpoint) = 0;
+  // The reports have begun, or have ceased, to show that the run gets on.
+  virtual void progress_changed(const std::string& runner, const run_key& run, bool gets_on) = 0;
   virtual void ticket_refused(const std::string& runner, const run_key& run) = 0;
   // No lease on the runner may be granted now that lasts longer; in the past: none at all.
   virtual instant leases_until(const std::string& runner) = 0;
@@ -142,6 +145,7 @@
     bool stop_answered = false;
     instant next_try{0};
     instant ticket_refused_after = never;
+    run_progress progress;
     start_command command;
   };
 
--- a/src/cell/testing/frozen_sender_test.cc
+++ b/src/cell/testing/frozen_sender_test.cc
@@ -55,6 +55,7 @@
                  std::int64_t) override {}
   void run_lost(const std::string&, const run_key&, std::string_view) override {}
   void checkpoint_reported(const std::string&, const run_key&, const std::string&) override {}
+  void progress_changed(const std::string&, const run_key&, bool) override {}
   void ticket_refused(const std::string&, const run_key&) override {}
   void token_refused(const std::string&) override {}
   instant leases_until(const std::string&) override { return this->limit; }
--- a/src/cell/testing/runner_session_test.cc
+++ b/src/cell/testing/runner_session_test.cc
@@ -657,5 +657,16 @@
   CHECK(f.leader.untracked_before_admission.size() == 1);
 }
 
+TEST_CASE("A session tells once when a run begins to get on, and once when it stands still") {
+  session_fixture f;
+  constexpr millis between_reports{1'000};
+  for (const std::int32_t percent : {0, 1, 2, 3, 3, 3, 3, 3}) {
+    f.commands.report(f.state(percent));
+    f.loop.run_for(between_reports);
+    f.session.tick();
+  }
+  CHECK(f.leader.progress == std::vector<bool>{true, false});
+}
+
 }  // namespace
 }  // namespace monsoonmux::cell
--- a/src/cell/testing/session_fixture.h
+++ b/src/cell/testing/session_fixture.h
@@ -59,6 +59,9 @@
     this->lost.emplace_back(why);
   }
   void checkpoint_reported(const std::string&, const run_key&, const std::string&) override {}
+  void progress_changed(const std::string&, const run_key&, bool gets_on) override {
+    this->progress.push_back(gets_on);
+  }
   void ticket_refused(const std::string&, const run_key&) override {}
   void token_refused(const std::string&) override { ++this->refused_tokens; }
   int refused_tokens = 0;
@@ -67,6 +70,7 @@
   bool has_room(const std::string&) override { return this->room; }
   bool room = true;
   std::vector<std::string> lost;
+  std::vector<bool> progress;  // What progress_changed() has told.
 };
 
 constexpr std::int64_t first_incarnation = 7;
@@ -118,8 +122,8 @@
     this->listed.clear();
   }
   // What the runner answers to a poll now.
-  poll_report state() const {
-    return {this->incarnation, this->clock(), {{long_task, 1, "", 100}}, this->listed};
+  poll_report state(std::int32_t percent = 100) const {
+    return {this->incarnation, this->clock(), {{long_task, 1, "", percent}}, this->listed};
   }
   // The same when nothing runs there.
   poll_report idle_state() const { return {this->incarnation, this->clock(), {}, this->listed}; }
--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -16,6 +16,8 @@
 // outweighs any packing, and a runner on which the task failed last outweighs both.
 constexpr double rack_mismatch_penalty = 10;
 constexpr double failed_here_penalty = 100;
+// A runner whose runs take long may be slow, or have got the long work.
+constexpr double may_be_slow_penalty = 5;
 // For work with little slack, a runner that takes a third longer ranks after any faster
 // one, however full that is. Work with much slack leaves the fast runners free.
 constexpr double tight_slowdown_weight = 3;
@@ -451,6 +453,9 @@
   if (task.last_failed_on == runner.entry.id) {
     score += failed_here_penalty;
   }
+  if (runner.may_be_slow) {
+    score += may_be_slow_penalty;
+  }
   const bool relaxed = step.order.slack > this->expected_time(step) * relaxed_slack_factor;
   score += (relaxed ? relaxed_slowdown_weight : tight_slowdown_weight) *
            this->state.run_times.slowdown(runner.entry.id);
--- a/src/decide/runner_table.cc
+++ b/src/decide/runner_table.cc
@@ -144,10 +144,22 @@
   count(*state, run, 1);
 }
 
+void runner_table::note_progress(const std::string& id, const run_key& run, bool gets_on) {
+  runner_state* const state = this->find(id);
+  if (state == nullptr) {
+    return;
+  }
+  const auto it = state->allocations.find(run);
+  if (it != state->allocations.end()) {
+    it->second.gets_on = gets_on;
+  }
+}
+
 std::int64_t runner_table::quarantine_stalled(instant now) {
   std::int64_t looked_at = 0;
   for (auto& [id, runner] : this->by_id) {
     std::int32_t overdue = 0;
+    std::int32_t long_ones = 0;
     std::int32_t others = 0;
     for (const auto& [key, run] : runner.allocations) {
       ++looked_at;
@@ -155,9 +167,15 @@
       if (run.expected.value <= 0 || !run.expected_is_learned || run.best_effort) {
         continue;
       }
-      const bool late = now - run.since > run.expected * this->options.overdue_factor;
-      ++(late ? overdue : others);
+      if (now - run.since <= run.expected * this->options.overdue_factor) {
+        ++others;
+      } else {
+        ++(run.gets_on ? long_ones : overdue);
+      }
     }
+    const std::int32_t late = overdue + long_ones;
+    runner.may_be_slow = late >= this->options.overdue_runs && late >= others;
+    others += long_ones;
     if (overdue >= this->options.overdue_runs && overdue >= others) {
       this->quarantine(runner, now, now + this->options.stalled_quarantine_time,
                        {id, true, work_refusal::stalled, overdue, others, millis{0}});
--- a/src/decide/runner_table.h
+++ b/src/decide/runner_table.h
@@ -41,6 +41,7 @@
   bool untracked = false;
   isolation kept = isolation::none;
   bool need_known = true;  // False: its job is unknown, so nothing may be placed beside it.
+  bool gets_on = false;    // Its runner's reports show progress.
 };
 
 // Identifies a run on a runner.
@@ -95,6 +96,7 @@
   instant quarantined_until{0};  // No new work is placed on it before this time.
   work_refusal quarantined_for = work_refusal::failing;
   instant quarantined_since = never;  // `never`: it was not, or the end was told.
+  bool may_be_slow = false;           // Most of its runs take long, though they may get on.
   // When its runs are given up if it stays out of contact; `never` while it is in contact.
   instant runs_given_up_at = never;
 
@@ -114,9 +116,9 @@
   // Consecutive failed runs, of any jobs, after which a runner is quarantined.
   std::int32_t failures_to_quarantine = 3;
   millis quarantine_time{8'000};
-  // A run is overdue after this many times its expected duration. A runner counts as
-  // stalled if it has at least overdue_runs overdue runs and no more other runs than
-  // overdue ones.
+  // A run is overdue after this many times its expected duration, unless it gets on: then it is
+  // long. A runner counts as stalled if it has at least overdue_runs overdue runs and no more
+  // other runs than overdue ones.
   std::int64_t overdue_factor = 3;
   std::int32_t overdue_runs = 2;
   millis stalled_quarantine_time{1'000};
@@ -156,6 +158,8 @@
   bool remove(const std::string& id, const run_key& key);
   // The run is not kept from others any more.
   void acquit(const std::string& id, const run_key& key);
+  // The reports of the runner have begun, or have ceased, to show progress of the run.
+  void note_progress(const std::string& id, const run_key& run, bool gets_on);
   // True if an untracked run of the task is on some runner, so that starting the task
   // would run it twice.
   bool has_untracked_run(const task_ref& task) const { return this->untracked.contains(task); }
--- a/src/decide/testing/placer_test.cc
+++ b/src/decide/testing/placer_test.cc
@@ -38,6 +38,19 @@
   CHECK(decide(cell).placements.empty());
 }
 
+TEST_CASE("A runner whose runs take long gets work only where no other has room") {
+  cell_builder cell;
+  cell.add_runner("a", small_runner).may_be_slow = true;
+  cell.add_runner("b", small_runner);
+  cell.add_job("j", cell_builder::step(5, small_task));
+  const plan p = decide(cell);
+  REQUIRE(p.placements.size() == 5);
+  for (std::size_t i = 0; i < 4; ++i) {
+    CHECK(p.placements[i].runner == "b");
+  }
+  CHECK(p.placements[4].runner == "a");
+}
+
 TEST_CASE("A team stays within its quota") {
   cell_builder cell;
   cell.state.config.teams[0].limit = {millicores{3'000}, mebibytes{0}, devices{0}};
