A lasting task that has lost its run is placed before all other work

Its runner's lease had lapsed and was closed in time; the step was tried in each round, and other steps got the room that came free. Cause: a lasting step had its queue's priority and no slack, whether it never ran or had lost its run, and came after its team's share. On a full pool it got what the more urgent queues left. Class: an order of work that does not know a promise in force. Fix: urgency has a class before all else: interrupted, usual, given up. Only the interrupted tasks of a step are in the first one; those that never ran keep their queue's place, and a suspect that waits to be alone does not hold up the others (the parts of a step have their own order). Preemption and reservations go by the queue's priority as before.

Evidence: of five new tests in placer_test four fail with the class taken out; the fifth ("... preempts by the priority of its queue") guards what must not change.

--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -134,11 +134,11 @@
 instant placer::interrupted_since(const step_spec& shape, const live_step& step,
                                   const std::vector<std::int32_t>& tasks) {
   instant first = never;
-  if (!shape.long_running) {
-    return first;
-  }
   for (const std::int32_t index : tasks) {
-    first = std::min(first, step.tasks[static_cast<std::size_t>(index)].waits_since);
+    const live_task& task = step.tasks[static_cast<std::size_t>(index)];
+    if (is_interrupted(shape, task)) {
+      first = std::min(first, task.waits_since);
+    }
   }
   return first;
 }
@@ -156,34 +156,42 @@
   return can_start || waiting.soon_waiting > 0;
 }
 
-void placer::split_by_isolation(waiting_step step, const live_step& tasks,
-                                std::vector<waiting_step>& out) {
+bool placer::is_interrupted(const step_spec& shape, const live_task& task) {
+  return shape.long_running && task.phase == task_phase::waiting && task.waits_since != never;
+}
+
+void placer::split(waiting_step step, const live_step& tasks, std::vector<waiting_step>& out) {
   // True while a task of the step that is to be alone has a run.
   const bool tried_alone =
       std::any_of(tasks.tasks.begin(), tasks.tasks.end(), [](const live_task& task) {
         return task.phase == task_phase::placed && isolation_of(task) == isolation::alone;
       });
-  std::map<isolation, std::vector<std::int32_t>> by_isolation;
+  // A gang is not split by whether its members had a run; they start together.
+  const bool gang_interrupted =
+      step.shape->gang && interrupted_since(*step.shape, tasks, step.tasks) != never;
+  bool any_alone = tried_alone;
+  std::map<std::pair<urgency_class, isolation>, std::vector<std::int32_t>> parts;
   for (const std::int32_t index : step.tasks) {
     const live_task& task = tasks.tasks[static_cast<std::size_t>(index)];
     const isolation kept = isolation_of(task);
     // One at a time: if it is given up, so is its job, and the others need no runner of their own.
-    const bool waits_for_other = kept == isolation::alone && !step.shape->gang &&
-                                 (tried_alone || by_isolation.contains(kept));
-    if (!waits_for_other) {
-      by_isolation[kept].push_back(index);
+    if (kept == isolation::alone && !step.shape->gang && std::exchange(any_alone, true)) {
+      continue;
     }
+    const bool interrupted = gang_interrupted || is_interrupted(*step.shape, task);
+    parts[{interrupted ? urgency_class::interrupted : step.order.kind, kept}].push_back(index);
   }
-  if (by_isolation.empty()) {
+  if (parts.empty()) {
     step.tasks.clear();
     step.query_only = true;
     out.push_back(std::move(step));
     return;
   }
-  for (auto& [kept, indices] : by_isolation) {
+  for (auto& [key, indices] : parts) {
     waiting_step part = step;
     step.soon_waiting = 0;  // Counts once.
-    part.kept = kept;
+    part.order.kind = key.first;
+    part.kept = key.second;
     part.tasks = std::move(indices);
     part.interrupted_since = interrupted_since(*part.shape, tasks, part.tasks);
     out.push_back(std::move(part));
@@ -333,7 +341,7 @@
   waiting_reason out;
   out.step = step.ref;
   out.tasks = step.tasks.size();
-  out.given_up = step.order.given_up;
+  out.given_up = step.order.kind == urgency_class::given_up;
   out.interrupted_since = step.interrupted_since;
   if (step.advice != nullptr) {
     out.queries = step.advice->queries;
--- a/src/decide/placer.h
+++ b/src/decide/placer.h
@@ -299,7 +299,7 @@
   const queue_round& queue_of(const live_job& job);
   std::int64_t collect_step(live_job& job, std::int32_t number, live_occurrence& occurrence,
                             std::int32_t step, urgency_evaluator& evaluator, instant now);
-  // Appends the step, once for each degree of isolation that some of its tasks need.
+  // Appends the step, in parts if split() makes several of it.
   void expand(const candidate_step& from, std::vector<waiting_step>& out);
   // The same of a step whose tasks need none; null if none of its tasks may start.
   waiting_step* expand_one(const candidate_step& from);
@@ -328,9 +328,11 @@
   // Sets which placed tasks of the step count in advice queries and whether it only queries;
   // false if it does neither that nor place any task.
   bool add_ending_tasks(waiting_step& waiting, const live_step& step, bool is_gang) const;
-  // Appends the step once for each degree of isolation that some of its tasks need.
-  static void split_by_isolation(waiting_step step, const live_step& tasks,
-                                 std::vector<waiting_step>& out);
+  // True if the task lasts and waits after a run.
+  static bool is_interrupted(const step_spec& shape, const live_task& task);
+  // Appends the step once for each degree of isolation that some of its tasks need, those that were
+  // interrupted apart from the others.
+  static void split(waiting_step step, const live_step& tasks, std::vector<waiting_step>& out);
   // Returns the runners of the pool on which the step may start, as far as the advice service was
   // asked; all of them if it needs no advice.
   std::vector<runner_state*> good_runners(const waiting_step& step);
--- a/src/decide/placer_order.cc
+++ b/src/decide/placer_order.cc
@@ -76,7 +76,9 @@
   for (const live_task& task : tasks.tasks) {
     const bool may_start = task.phase == task_phase::waiting && !task.held;
     waiting += may_start ? 1 : 0;
-    is_special = is_special || (may_start && isolation_of(task) != isolation::none);
+    is_special =
+        is_special ||
+        (may_start && (isolation_of(task) != isolation::none || is_interrupted(shape, task)));
   }
   const auto all = static_cast<std::int64_t>(tasks.tasks.size());
   is_special = is_special || (shape.gang && waiting > 0 && waiting < all) ||
@@ -126,7 +128,7 @@
   waiting.queue = from.queue;
   waiting.pool = from.queue != nullptr ? from.queue->pool : from.job->submission().pool;
   waiting.round = from.round;
-  split_by_isolation(std::move(waiting), tasks, out);
+  split(std::move(waiting), tasks, out);
 }
 
 placer::waiting_step* placer::expand_one(const candidate_step& from) {
--- a/src/decide/testing/placer_test.cc
+++ b/src/decide/testing/placer_test.cc
@@ -1,8 +1,10 @@
 #include "decide/placer.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 #include <random>
+#include <vector>
 
 #include "decide/testing/cell_builder.h"
 
@@ -435,6 +437,93 @@
   CHECK(p.placements[0].task.in.job == job_id("lasting"));
 }
 
+// A full runner, a lasting step of the least urgent queue, of which tasks of the given number have
+// lost their run, and a stream of short tasks of the most urgent queue.
+struct interrupted_beside_short : cell_builder {
+  explicit interrupted_beside_short(int interrupted, int never_ran = 0) {
+    constexpr std::int32_t least_urgent = 4;
+    this->add_queue("lasting", least_urgent, 2);
+    this->add_runner("a", small_runner);
+    step_spec lasting = step(interrupted + never_ran, small_task);
+    lasting.long_running = true;
+    job_spec spec;
+    spec.steps = {lasting};
+    this->lasting = &this->add_job("lasting", spec, "t", "lasting");
+    for (std::int32_t i = 0; i < interrupted; ++i) {
+      const task_ref task{{job_id("lasting"), 0, 0}, i};
+      this->lasting->place(task, 1, "lost", 1, this->now);
+      this->lasting->finish(task, 1, run_outcome::lost, {});
+      this->lasting->find(task)->waits_since = this->now;
+    }
+    this->add_job("short", step(100, small_task));
+  }
+  // The tasks of the lasting step that a round places.
+  std::vector<std::int32_t> placed() {
+    std::vector<std::int32_t> out;
+    for (const placement& p : decide(*this).placements) {
+      if (p.task.in.job == job_id("lasting")) {
+        out.push_back(p.task.index);
+      }
+    }
+    return out;
+  }
+
+  live_job* lasting = nullptr;
+};
+
+TEST_CASE("An interrupted lasting task gets the first room, beside more urgent short ones") {
+  interrupted_beside_short cell(2);
+  CHECK(cell.placed() == std::vector<std::int32_t>{0, 1});
+}
+
+TEST_CASE("An interrupted lasting task gets the first room although its team is over its share") {
+  interrupted_beside_short cell(1);
+  cell.state.config.teams.push_back({team_id("u"), {"other"}, 1, {}});
+  cell.state.teams.add(team_id("t"), {millicores{8'000}, mebibytes{800}, devices{0}});
+  cell.state.teams.add(team_id("u"), {millicores{1'000}, mebibytes{100}, devices{0}});
+  cell.add_job("other", cell_builder::step(100, small_task), "u");
+  CHECK(cell.placed() == std::vector<std::int32_t>{0});
+}
+
+TEST_CASE("Tasks of an interrupted step that never ran keep the place of their queue") {
+  interrupted_beside_short cell(1, 3);
+  CHECK(cell.placed() == std::vector<std::int32_t>{0});
+}
+
+TEST_CASE("An interrupted suspect that waits to be alone does not hold up its step's others") {
+  interrupted_beside_short cell(2);
+  cell.lasting->find({{job_id("lasting"), 0, 0}, 0})->crashes = crashes_until_alone;
+  allocation lasting;
+  lasting.task = {{job_id("other"), 0, 0}, 0};
+  lasting.run = 1;
+  lasting.capacity_used = small_task;
+  cell.add_runner("b", small_runner);
+  cell.state.runners.add("a", lasting);
+  cell.state.runners.add("b", lasting);
+  const std::vector<std::int32_t> placed = cell.placed();
+  CHECK(std::count(placed.begin(), placed.end(), 1) == 1);
+}
+
+TEST_CASE("An interrupted lasting task preempts by the priority of its queue") {
+  interrupted_beside_short cell(1);
+  cell.state.jobs.erase(job_id("short"));
+  for (std::int32_t i = 0; i < 4; ++i) {
+    allocation run;
+    run.task = {{job_id("resumable"), 0, 0}, i};
+    run.run = 1;
+    run.since = cell.now;
+    run.expected = millis{60'000};
+    run.capacity_used = small_task;
+    run.resumable = true;
+    run.slack = millis{1'000'000};
+    run.priority = 3;  // Before that of the lasting task's queue.
+    cell.state.runners.add("a", run);
+  }
+  const plan p = decide(cell);
+  CHECK(p.placements.empty());
+  CHECK(p.preemptions.empty());
+}
+
 TEST_CASE("Late work is placed after work that can still be in time") {
   cell_builder cell;
   cell.add_runner("a", {millicores{1'000}, mebibytes{1'000}, devices{0}});
--- a/src/decide/urgency.cc
+++ b/src/decide/urgency.cc
@@ -110,7 +110,8 @@
   const millis waited = std::max(age, millis{0});
   const millis remaining = run.path.left;
   out.slack = objective - waited - remaining;
-  out.given_up = waited + remaining > objective * give_up_factor;
+  const bool given_up = waited + remaining > objective * give_up_factor;
+  out.kind = given_up ? urgency_class::given_up : urgency_class::usual;
   const bool likely_late = out.slack < remaining / margin_divisor + min_margin;
   out.priority = queue->priority + (likely_late ? late_priority_offset : 0);
   return out;
--- a/src/decide/urgency.h
+++ b/src/decide/urgency.h
@@ -1,19 +1,27 @@
 #pragma once
 
 #include <compare>
+#include <cstdint>
 #include <unordered_map>
 
 #include "decide/cell_state.h"
 
 namespace monsoonmux::cell {
 
+// Work of an earlier class goes before all of a later one.
+enum class urgency_class : std::uint8_t {
+  interrupted,  // Lasting tasks that have lost their run: each second without one counts.
+  usual,
+  given_up,  // So late that the job no longer has any value.
+};
+
 // Sort key of a waiting step; the smallest goes first.
 //
 // Work that can still meet its objective goes before late work of its own priority and of
 // the next higher priority. Work that no longer has any value for its submitter goes last,
 // but is still done.
 struct urgency {
-  bool given_up = false;      // So late that the job no longer has any value.
+  urgency_class kind = urgency_class::usual;
   std::int32_t priority = 0;  // Of the queue; a larger number once it is late.
   bool over_share = false;    // The team uses well over its fair share.
   millis slack;               // Time until the objective minus the remaining run time.
