An interrupted lasting task reserves the runners that have its room first

Cause: such a task needs more than what one short run frees, and only gangs and tasks of a quarter of the largest runner reserve. Fix: steps of interrupted lasting tasks reserve, as many at a time as others may and counted apart, so that gangs keep theirs.

Evidence: "Room for an interrupted lasting task is not taken piece by piece by short ones" fails without the change.

--- a/src/decide/placer.h
+++ b/src/decide/placer.h
@@ -269,6 +269,7 @@
     std::size_t pending_out_of_turn = 0;     // Queries that were sent out of turn.
     std::size_t reserving_steps = 0;         // Steps that have reserved runners.
     std::size_t isolating_steps = 0;         // The same, of tasks that are to be alone.
+    std::size_t interrupted_reserving = 0;   // The same, of interrupted lasting tasks.
     std::size_t blocked = 0;                 // Steps that found no runner.
     std::size_t max_blocked = 0;             // The others are skipped.
     std::vector<candidate_step> candidates;  // A heap, the most urgent one first.
@@ -355,7 +356,10 @@
   bool place_tasks(waiting_step& step, instant now, plan& out);
   bool place_gang(const waiting_step& step, instant now, plan& out);
   bool may_reserve(const waiting_step& step);
-  // The most steps of the pool that reserve at the same time, those of isolated tasks apart.
+  // The number of steps of the pool that have reserved runners, of those that share its bound.
+  static std::size_t& reserving_steps_like(const waiting_step& step);
+  // The most steps of the pool that reserve at the same time; those of isolated and of interrupted
+  // lasting tasks have bounds of their own.
   std::size_t most_reserving_steps(const pool_round& round) const;
   // True if the step, which found no runners to reserve, may ask about those without room.
   bool may_learn_runners(const waiting_step& step) const;
--- a/src/decide/placer_reservations.cc
+++ b/src/decide/placer_reservations.cc
@@ -176,11 +176,23 @@
          round.learning_steps < this->most_reserving_steps(round);
 }
 
+std::size_t& placer::reserving_steps_like(const waiting_step& step) {
+  pool_round& round = *step.round;
+  if (step.kept == isolation::alone) {
+    return round.isolating_steps;
+  }
+  return step.order.kind == urgency_class::interrupted ? round.interrupted_reserving
+                                                       : round.reserving_steps;
+}
+
 bool placer::may_reserve(const waiting_step& step) {
   const pool_round& round = *step.round;
   if (step.kept == isolation::alone) {
     return round.isolating_steps < this->options.max_reserving_steps;
   }
+  if (step.order.kind == urgency_class::interrupted) {
+    return round.interrupted_reserving < this->most_reserving_steps(round);
+  }
   if (round.reserving_steps >= this->most_reserving_steps(round)) {
     return false;
   }
@@ -205,8 +217,7 @@
   for (const share& part : chosen) {
     this->reserve_runner(part, step, step.shape->gang ? all_free : part.fits_at, now, out);
   }
-  pool_round& round = *step.round;
-  ++(step.kept == isolation::alone ? round.isolating_steps : round.reserving_steps);
+  ++this->reserving_steps_like(step);
   return true;
 }
 
--- a/src/decide/testing/placer_test.cc
+++ b/src/decide/testing/placer_test.cc
@@ -440,11 +440,12 @@
 // A full runner, a lasting step of the least urgent queue, of which tasks of the given number have
 // lost their run, and a stream of short tasks of the most urgent queue.
 struct interrupted_beside_short : cell_builder {
-  explicit interrupted_beside_short(int interrupted, int never_ran = 0) {
+  explicit interrupted_beside_short(int interrupted, int never_ran = 0,
+                                    const resources& need = small_task) {
     constexpr std::int32_t least_urgent = 4;
     this->add_queue("lasting", least_urgent, 2);
     this->add_runner("a", small_runner);
-    step_spec lasting = step(interrupted + never_ran, small_task);
+    step_spec lasting = step(interrupted + never_ran, need);
     lasting.long_running = true;
     job_spec spec;
     spec.steps = {lasting};
@@ -524,6 +525,26 @@
   CHECK(p.preemptions.empty());
 }
 
+TEST_CASE("Room for an interrupted lasting task is not taken piece by piece by short ones") {
+  constexpr resources runner_size{millicores{16'000}, mebibytes{16'000}, devices{0}};
+  constexpr resources two_pieces{millicores{2'000}, mebibytes{100}, devices{0}};
+  interrupted_beside_short cell(1, 0, two_pieces);
+  live_task& lasting = *cell.lasting->find({{job_id("lasting"), 0, 0}, 0});
+  cell.state.runners.erase("a");
+  cell.add_runner("large", runner_size);
+  lasting.held = true;
+  CHECK(decide(cell).placements.size() == 16);
+  lasting.held = false;
+  for (std::int32_t i = 0; i < 2; ++i) {
+    cell.now = cell.now + millis{400};
+    CHECK(cell.placed().empty());
+    const task_ref task{{job_id("short"), 0, 0}, i};
+    cell.state.jobs.at(job_id("short")).finish(task, 1, run_outcome::done, {});
+    cell.state.runners.remove("large", {task, 1});
+  }
+  CHECK(cell.placed() == std::vector<std::int32_t>{0});
+}
+
 TEST_CASE("Late work is placed after work that can still be in time") {
   cell_builder cell;
   cell.add_runner("a", {millicores{1'000}, mebibytes{1'000}, devices{0}});
