An overdue run is not counted on to end at once

A run past its expected end counted as ending now: such runners were reserved first, although their runs went on; fewer runs were preempted than the reserving step needed; and queries for advice counted on room that did not come. Fix: a run that is late is expected to be as late again, in the choice of runners to reserve, in preemption and in room_outlook. Only what may begin on a reserved runner meanwhile goes by its earliest end, as before: work that takes longer must not delay the reserving step.

Evidence: three new tests fail without their part of the change ("A runner whose runs are long overdue is not reserved ...", "A run is preempted although another one beside it is long overdue", "A run that is long overdue is not counted on to end at once").

--- a/src/decide/placer.h
+++ b/src/decide/placer.h
@@ -378,10 +378,12 @@
   // True if the run may be stopped in favour of the step: its progress is kept, and its
   // job can still meet its objective.
   bool is_preemptible(const allocation& run, const waiting_step& step) const;
+  // What is assumed of runs that are late already.
+  enum class overdue_runs : std::uint8_t { may_end_now, take_longer };
   // When the runner is expected to have `need` free if preemptible runs are stopped;
   // `never` if the runner is too small or runs without an expected end occupy it.
   instant fits_at(const runner_state& runner, const resources& need, const waiting_step& step,
-                  instant now) const;
+                  instant now, overdue_runs overdue) const;
   void preempt(const share& part, const waiting_step& step, instant now, plan& out);
   // Number of the step's tasks that fit on the runner while that is empty.
   std::size_t members_that_fit(const waiting_step& step, const runner_state& runner) const;
--- a/src/decide/placer_query_choice.cc
+++ b/src/decide/placer_query_choice.cc
@@ -76,7 +76,8 @@
       continue;
     }
     if (starts <= 0 && step.kept == isolation::alone &&
-        this->fits_at(*runner, runner->entry.capacity, step, now) > needed_until) {
+        this->fits_at(*runner, runner->entry.capacity, step, now, overdue_runs::take_longer) >
+            needed_until) {
       continue;  // It will not be empty before the ticket expires.
     }
     const std::size_t tie_break = (known.runner.value + 1) * (2 * salt + 1);
--- a/src/decide/placer_reservations.cc
+++ b/src/decide/placer_reservations.cc
@@ -30,7 +30,7 @@
 }
 
 instant placer::fits_at(const runner_state& runner, const resources& need, const waiting_step& step,
-                        instant now) const {
+                        instant now, overdue_runs overdue) const {
   resources free_capacity = runner.free_capacity();
   if (need.fits(free_capacity)) {
     return now;
@@ -38,9 +38,9 @@
   std::vector<std::pair<instant, resources>> ends;
   for (const auto& [key, run] : runner.allocations) {
     const bool stops_soon = run.stopping || is_preemptible(run, step);
-    const instant expected = run.expected.value > 0 ? run.since + run.expected : never;
-    ends.emplace_back(stops_soon ? now + this->options.stop_time : std::max(now, expected),
-                      run.capacity_used);
+    const instant end =
+        overdue == overdue_runs::may_end_now ? run.earliest_end(now) : run.expected_end(now);
+    ends.emplace_back(stops_soon ? now + this->options.stop_time : end, run.capacity_used);
   }
   std::sort(ends.begin(), ends.end(),
             [](const auto& a, const auto& b) { return a.first < b.first; });
@@ -107,7 +107,8 @@
   std::vector<share> one_per_runner;
   one_per_runner.reserve(usable.size());
   for (runner_state* runner : usable) {
-    one_per_runner.push_back({runner, each, this->fits_at(*runner, each, step, now)});
+    one_per_runner.push_back(
+        {runner, each, this->fits_at(*runner, each, step, now, overdue_runs::take_longer)});
   }
   std::vector<share> chosen = this->earliest_shares(std::move(one_per_runner), step);
   if (!chosen.empty()) {
@@ -117,7 +118,8 @@
   for (runner_state* runner : usable) {
     const auto most = static_cast<std::int64_t>(this->members_that_fit(step, *runner));
     if (most > 0) {
-      packed.push_back({runner, each * most, this->fits_at(*runner, each * most, step, now)});
+      packed.push_back({runner, each * most,
+                        this->fits_at(*runner, each * most, step, now, overdue_runs::take_longer)});
     }
   }
   return this->earliest_shares(std::move(packed), step);
@@ -129,7 +131,8 @@
   for (runner_state* runner : usable) {
     if (this->members_that_fit(step, *runner) > 0) {
       const resources& all = runner->entry.capacity;
-      whole.push_back({runner, all, this->fits_at(*runner, all, step, now)});
+      whole.push_back(
+          {runner, all, this->fits_at(*runner, all, step, now, overdue_runs::take_longer)});
     }
   }
   return this->earliest_shares(std::move(whole), step);
@@ -142,16 +145,15 @@
   std::vector<std::pair<const run_key, allocation>*> victims;
   for (auto& entry : part.runner->allocations) {
     const allocation& run = entry.second;
-    const bool ends_soon =
-        run.expected.value > 0 && run.since + run.expected <= now + this->options.stop_time;
+    const bool ends_soon = run.expected_end(now) <= now + this->options.stop_time;
     if (run.stopping || ends_soon) {
       free_capacity += run.capacity_used;
     } else if (is_preemptible(run, step)) {
       victims.push_back(&entry);
     }
   }
-  std::sort(victims.begin(), victims.end(), [](const auto* a, const auto* b) {
-    return a->second.since + a->second.expected > b->second.since + b->second.expected;
+  std::sort(victims.begin(), victims.end(), [now](const auto* a, const auto* b) {
+    return a->second.expected_end(now) > b->second.expected_end(now);
   });
   for (auto* victim : victims) {
     if (part.need.fits(free_capacity)) {
@@ -206,10 +208,14 @@
 // they would idle for nothing. The members of a gang wait for each other, so each of
 // its reservations lasts until the last runner is free; other tasks start one by one.
 bool placer::reserve_runners(const waiting_step& step, instant now, plan& out) {
-  const std::vector<share> chosen = this->shares_to_reserve(step, now);
+  std::vector<share> chosen = this->shares_to_reserve(step, now);
   if (chosen.empty()) {
     return false;
   }
+  // Work that ends before then may begin there, so runs that are late already count as ending now.
+  for (share& part : chosen) {
+    part.fits_at = this->fits_at(*part.runner, part.need, step, now, overdue_runs::may_end_now);
+  }
   instant all_free = now;
   for (const share& part : chosen) {
     all_free = std::max(all_free, part.fits_at);
--- a/src/decide/room_outlook.cc
+++ b/src/decide/room_outlook.cc
@@ -10,9 +10,8 @@
   }
   resources out = runner.free_capacity();
   for (const auto& [key, run] : runner.allocations) {
-    const bool lasts = run.expected.value <= 0;
-    const instant end = run.stopping ? this->now + this->stop_time : run.since + run.expected;
-    if ((run.stopping || !lasts) && end <= by) {
+    const instant end = run.stopping ? this->now + this->stop_time : run.expected_end(this->now);
+    if (end <= by) {
       out += run.capacity_used;
     }
   }
--- a/src/decide/runner_table.cc
+++ b/src/decide/runner_table.cc
@@ -24,6 +24,18 @@
   return "unknown";
 }
 
+instant allocation::expected_end(instant now) const {
+  if (this->expected.value <= 0) {
+    return never;
+  }
+  const instant forecast = this->since + this->expected;
+  return forecast >= now ? forecast : now + (now - forecast);
+}
+
+instant allocation::earliest_end(instant now) const {
+  return this->expected.value <= 0 ? never : std::max(now, this->since + this->expected);
+}
+
 work_refusal runner_state::refusal(instant now) const {
   if (!this->listed) {
     return work_refusal::not_listed;
--- a/src/decide/runner_table.h
+++ b/src/decide/runner_table.h
@@ -42,6 +42,11 @@
   isolation kept = isolation::none;
   bool need_known = true;  // False: its job is unknown, so nothing may be placed beside it.
   bool gets_on = false;    // Its runner's reports show progress.
+
+  // `never` if it is long-running. A run that is late is expected to be as late again.
+  instant expected_end(instant now) const;
+  // The same, but a run that is late may end now.
+  instant earliest_end(instant now) const;
 };
 
 // Identifies a run on a runner.
--- a/src/decide/testing/placer_test.cc
+++ b/src/decide/testing/placer_test.cc
@@ -545,6 +545,54 @@
   CHECK(cell.placed() == std::vector<std::int32_t>{0});
 }
 
+TEST_CASE("A runner whose runs are long overdue is not reserved before one whose runs end soon") {
+  constexpr resources most_of_it{millicores{3'000}, mebibytes{300}, devices{0}};
+  cell_builder cell;
+  cell.add_runner("overdue", small_runner);
+  cell.add_runner("ends", small_runner);
+  const auto fill = [&](const std::string& runner, std::int32_t index, millis age) {
+    allocation run;
+    run.task = {{job_id("running"), 0, 0}, index};
+    run.run = 1;
+    run.since = cell.now - age;
+    run.expected = millis{1'000};
+    run.capacity_used = most_of_it;
+    cell.state.runners.add(runner, run);
+  };
+  fill("overdue", 0, millis{10'000});
+  fill("ends", 1, millis{500});
+  cell.add_job("large", cell_builder::step(1, small_runner));
+  cell.add_job("small", cell_builder::step(1, small_task));
+  const plan p = decide(cell);
+  REQUIRE(p.placements.size() == 1);
+  CHECK(p.placements[0].runner == "overdue");
+}
+
+TEST_CASE("A run is preempted although another one beside it is long overdue") {
+  constexpr resources half{millicores{2'000}, mebibytes{500}, devices{0}};
+  constexpr std::int32_t less_urgent = 5;
+  cell_builder cell;
+  cell.add_runner("a", small_runner);
+  allocation overdue;
+  overdue.task = {{job_id("running"), 0, 0}, 0};
+  overdue.run = 1;
+  overdue.since = cell.now - millis{10'000};
+  overdue.expected = millis{1'000};
+  overdue.capacity_used = half;
+  allocation resumable = overdue;
+  resumable.task.index = 1;
+  resumable.expected = millis{60'000};
+  resumable.resumable = true;
+  resumable.slack = millis{60'000};
+  resumable.priority = less_urgent;
+  cell.state.runners.add("a", overdue);
+  cell.state.runners.add("a", resumable);
+  cell.add_job("large", cell_builder::step(1, half));
+  const plan p = decide(cell);
+  REQUIRE(p.preemptions.size() == 1);
+  CHECK(p.preemptions[0].run.task == resumable.task);
+}
+
 TEST_CASE("Late work is placed after work that can still be in time") {
   cell_builder cell;
   cell.add_runner("a", {millicores{1'000}, mebibytes{1'000}, devices{0}});
--- a/src/decide/testing/room_outlook_test.cc
+++ b/src/decide/testing/room_outlook_test.cc
@@ -48,6 +48,14 @@
   CHECK(outlook.fitting(1, half, cell.now + millis{1'000}, 9) == 0);
 }
 
+TEST_CASE("A run that is long overdue is not counted on to end at once") {
+  outlook_cell cell;
+  const instant later = cell.now + millis{11'000};
+  room_outlook outlook(cell.runners, later, stop_time);
+  CHECK(outlook.fitting(0, half, later + millis{1'000}, 9) == 1);
+  CHECK(outlook.fitting(0, half, later + millis{10'000}, 9) == 2);
+}
+
 TEST_CASE("Room that is counted on is not there for others") {
   outlook_cell cell;
   const instant by = cell.now + millis{1'000};
