A runner that takes no work is not reserved

Cause: a runner in quarantine, or with a run of unknown need, could be reserved. With free room it was chosen first and kept, and the runners that take work lost their room piece by piece.

--- a/src/decide/placer_reservations.cc
+++ b/src/decide/placer_reservations.cc
@@ -92,8 +92,7 @@
   for (runner_state* runner : this->good_runners(step)) {
     ++this->work.reserving;
     const bool may_share_it = step.kept == isolation::alone || may_share(step, *runner);
-    const bool in_use = runner->listed && runner->admitted && !runner->entry.draining;
-    if (may_share_it && in_use && this->permitted(step, *runner) &&
+    if (may_share_it && runner->takes_work(now) && this->permitted(step, *runner) &&
         !this->reservations.contains(runner)) {
       usable.push_back(runner);
     }
--- a/src/decide/testing/placer_test.cc
+++ b/src/decide/testing/placer_test.cc
@@ -568,6 +568,49 @@
   CHECK(p.placements[0].runner == "overdue");
 }
 
+// A full runner of 16 short runs, an interrupted lasting task that needs the room of two, and more
+// short tasks.
+struct interrupted_on_full_runner : interrupted_beside_short {
+  interrupted_on_full_runner() : interrupted_beside_short(1, 0, two_pieces) {
+    constexpr resources runner_size{millicores{16'000}, mebibytes{16'000}, devices{0}};
+    this->state.runners.erase("a");
+    this->add_runner("full", runner_size);
+    live_task& task = *this->lasting->find({{job_id("lasting"), 0, 0}, 0});
+    task.held = true;
+    this->decide_round();
+    task.held = false;
+  }
+  // One after the other the 16 runs end. Returns whether the lasting task was placed meanwhile.
+  bool placed_while_runs_end() {
+    constexpr millis between_ends{400};
+    bool placed = false;
+    for (std::int32_t i = 0; i < 16; ++i) {
+      this->now = this->now + between_ends;
+      const task_ref task{{job_id("short"), 0, 0}, i};
+      this->state.jobs.at(job_id("short")).finish(task, 1, run_outcome::done, {});
+      this->state.runners.remove("full", {task, 1});
+      for (const placement& p : this->decide_round()) {
+        placed = placed || p.task.in.job == job_id("lasting");
+      }
+    }
+    return placed;
+  }
+  std::vector<placement> decide_round() {
+    return this->planner.decide(this->now, this->now.value).placements;
+  }
+
+  static constexpr resources two_pieces{millicores{2'000}, mebibytes{100}, devices{0}};
+  placer planner{this->state};
+};
+
+TEST_CASE("A runner in quarantine takes no reservation from those that take work") {
+  interrupted_on_full_runner cell;
+  constexpr millis long_time{8'000};
+  cell.add_runner("quarantined", interrupted_on_full_runner::two_pieces).quarantined_until =
+      cell.now + long_time;
+  CHECK(cell.placed_while_runs_end());
+}
+
 TEST_CASE("A run is preempted although another one beside it is long overdue") {
   constexpr resources half{millicores{2'000}, mebibytes{500}, devices{0}};
   constexpr std::int32_t less_urgent = 5;
