Lasting tasks that never ran don't take the room of an interrupted one

Cause: after max_hold any lasting step passed every reservation. That bound is for reservations of gangs, whose wait has no certain end; those of interrupted tasks last until the next room.

--- a/src/decide/placer.h
+++ b/src/decide/placer.h
@@ -529,6 +529,7 @@
   struct reservation {
     step_ref by;
     isolation kept = isolation::none;
+    urgency_class kind = urgency_class::usual;
     std::int32_t priority = 0;
     instant free_at;  // When the step that reserved the runner can expect to start there.
   };
--- a/src/decide/placer_reservations.cc
+++ b/src/decide/placer_reservations.cc
@@ -228,8 +228,8 @@
 
 void placer::reserve_runner(const share& part, const waiting_step& step, instant free_at,
                             instant now, plan& out) {
-  this->reservations.emplace(part.runner,
-                             reservation{step.ref, step.kept, step.order.priority, free_at});
+  this->reservations.emplace(
+      part.runner, reservation{step.ref, step.kept, step.order.kind, step.order.priority, free_at});
   this->new_reservations[step.ref].push_back(part.runner->number);
   if (free_at <= now + this->options.preempt_within) {
     this->preempt(part, step, now, out);
@@ -237,7 +237,8 @@
 }
 
 // A reservation does not block work that ends before the reserving step could start, nor lasting
-// work for longer than max_hold: no end of the reserving step's wait is certain.
+// work for longer than max_hold, unless it is an interrupted task's: no end of the reserving
+// step's wait is certain.
 bool placer::blocked_by_reservation(const waiting_step& step, const runner_state& runner,
                                     instant now) const {
   const auto it = this->reservations.find(&runner);
@@ -246,7 +247,9 @@
     return false;
   }
   const auto held = this->held_since.find(step.ref);
-  if (held != this->held_since.end() && now - held->second >= this->options.max_hold) {
+  const bool waits_long =
+      held != this->held_since.end() && now - held->second >= this->options.max_hold;
+  if (waits_long && it->second.kind != urgency_class::interrupted) {
     return false;
   }
   const reservation& other = it->second;
--- a/src/decide/testing/placer_test.cc
+++ b/src/decide/testing/placer_test.cc
@@ -611,6 +611,19 @@
   CHECK(cell.placed_while_runs_end());
 }
 
+TEST_CASE("Lasting tasks that never ran do not take the room of an interrupted one") {
+  interrupted_on_full_runner cell;
+  step_spec lasting = cell_builder::step(50, small_task);
+  lasting.long_running = true;
+  cell.add_job("new", lasting);
+  constexpr millis longer_than_max_hold{3'000};
+  for (millis passed{0}; passed < longer_than_max_hold; passed += millis{100}) {
+    cell.decide_round();
+    cell.now = cell.now + millis{100};
+  }
+  CHECK(cell.placed_while_runs_end());
+}
+
 TEST_CASE("A run is preempted although another one beside it is long overdue") {
   constexpr resources half{millicores{2'000}, mebibytes{500}, devices{0}};
   constexpr std::int32_t less_urgent = 5;
