No run is preempted unless what is stopped makes the room

Since a late run is no longer counted on to end at once, a step that needs its room as well stopped all that it may on that runner, and still did not fit. Fix: the runs to stop are chosen first; if the share would not fit without all of them either, none is stopped.

--- a/src/decide/placer_reservations.cc
+++ b/src/decide/placer_reservations.cc
@@ -137,8 +137,9 @@
   return this->earliest_shares(std::move(whole), step);
 }
 
-// Stops preemptible runs until the share fits. The runs with the longest remaining time
-// are stopped first, since the others end soon anyway.
+// Stops preemptible runs until the share fits; none if it would not fit without all of them
+// either. The runs with the longest remaining time are stopped first, since the others end soon
+// anyway.
 void placer::preempt(const share& part, const waiting_step& step, instant now, plan& out) {
   resources free_capacity = part.runner->free_capacity();
   std::vector<std::pair<const run_key, allocation>*> victims;
@@ -154,13 +155,17 @@
   std::sort(victims.begin(), victims.end(), [now](const auto* a, const auto* b) {
     return a->second.expected_end(now) > b->second.expected_end(now);
   });
-  for (auto* victim : victims) {
-    if (part.need.fits(free_capacity)) {
-      return;
-    }
-    free_capacity += victim->second.capacity_used;
-    victim->second.stopping = true;
-    out.preemptions.push_back({part.runner->entry.id, victim->first, step.ref});
+  std::size_t to_stop = 0;
+  while (to_stop < victims.size() && !part.need.fits(free_capacity)) {
+    free_capacity += victims[to_stop]->second.capacity_used;
+    ++to_stop;
+  }
+  if (!part.need.fits(free_capacity)) {
+    return;
+  }
+  for (std::size_t i = 0; i < to_stop; ++i) {
+    victims[i]->second.stopping = true;
+    out.preemptions.push_back({part.runner->entry.id, victims[i]->first, step.ref});
   }
 }
 
--- a/src/decide/testing/placer_test.cc
+++ b/src/decide/testing/placer_test.cc
@@ -624,6 +624,27 @@
   CHECK(cell.placed_while_runs_end());
 }
 
+TEST_CASE("No run is preempted for room that an overdue run withholds") {
+  constexpr resources half{millicores{2'000}, mebibytes{500}, devices{0}};
+  constexpr std::int32_t less_urgent = 5;
+  cell_builder cell;
+  cell.add_runner("a", small_runner);
+  for (std::int32_t i = 0; i < 3; ++i) {
+    allocation run;
+    run.task = {{job_id("running"), 0, 0}, i};
+    run.run = 1;
+    run.since = cell.now - millis{10'000};
+    run.expected = i == 0 ? millis{1'000} : millis{60'000};
+    run.capacity_used = i == 0 ? half : small_task;
+    run.resumable = i > 0;
+    run.slack = millis{60'000};
+    run.priority = less_urgent;
+    cell.state.runners.add("a", run);
+  }
+  cell.add_job("large", cell_builder::step(1, small_runner));
+  CHECK(decide(cell).preemptions.empty());
+}
+
 TEST_CASE("A run is preempted although another one beside it is long overdue") {
   constexpr resources half{millicores{2'000}, mebibytes{500}, devices{0}};
   constexpr std::int32_t less_urgent = 5;
