--- a/src/decide/placer.cc
+++ b/src/decide/placer.cc
@@ -166,7 +166,7 @@
       std::any_of(tasks.tasks.begin(), tasks.tasks.end(), [](const live_task& task) {
         return task.phase == task_phase::placed && isolation_of(task) == isolation::alone;
       });
-  // A gang is not split by whether its members had a run; they start together.
+  // The members of a gang start together, whether they had a run or not.
   const bool gang_interrupted =
       step.shape->gang && interrupted_since(*step.shape, tasks, step.tasks) != never;
   bool any_alone = tried_alone;
--- a/src/decide/run_progress.h
+++ b/src/decide/run_progress.h
@@ -6,9 +6,8 @@
 
 namespace monsoonmux::cell {
 
-// Whether a run gets on, by the progress in percent that its runner reports. It does while no
-// pause between two changes is long for a run of its age; the first change takes as long to show
-// as later ones, so until then it is not known to.
+// Whether a run gets on, by the progress in percent that its runner reports: from the first change
+// on, for as long as no pause between two changes is long for a run of its age.
 class run_progress {
  public:
   // Notes what a report shows. Returns true if gets_on() has changed.
--- a/src/decide/runner_table.h
+++ b/src/decide/runner_table.h
@@ -66,7 +66,6 @@
   failing,       // Quarantined: its last runs failed.
   unknown_need,  // It has a run of an unknown job.
 };
-constexpr std::size_t work_refusals = 7;
 std::string_view to_string(work_refusal refusal);
 
 // The begin or the end of a runner's quarantine.
@@ -185,7 +184,7 @@
  private:
   // Returns the state of the runner, a new one if it has none.
   runner_state& state_of(const std::string& id);
-  // The change's `why` is the reason; unless the runner is in quarantine already it is noted.
+  // Extends the runner's quarantine; notes `change`, its begin, if it is in none yet.
   void quarantine(runner_state& state, instant now, instant until, quarantine_change change);
   void note_quarantine_end(const std::string& id, runner_state& state, instant now);
 
