Noting a run's progress reads no clock

Cause: reads the clock for each run in each report. The session knows when its runner was last known to run, which is the time that the progress stands for. The test fails before this and passes now.

--- a/src/cell/runner_session_reports.cc
+++ b/src/cell/runner_session_reports.cc
@@ -155,7 +155,7 @@
       it->second.answered_at = this->time.now();
       it->second.placed_on = report.incarnation;
     }
-    if (it->second.progress.note(running.percent, this->time.now())) {
+    if (it->second.progress.note(running.percent, this->runner_time.alive_at())) {
       this->leader.progress_changed(this->id, run, it->second.progress.gets_on());
     }
     if (!running.checkpoint.empty()) {
